Add WebSocket connections between nodes

Cause: nodes exchange CBOR messages over WebSocket on the event loop.

Before: none.

Conclusion: links can carry the mesh protocol.

--- a/libs/net/src/EventLoop.cpp
+++ b/libs/net/src/EventLoop.cpp
@@ -41,6 +41,8 @@
 
 EventLoop::~EventLoop()
 {
+  // Deferred callbacks may own watchers, which need the loop to stop.
+  mImpl->mDeferred.clear();
   ev_ref(mImpl->mLoop);
   ev_prepare_stop(mImpl->mLoop, &mImpl->mPrepare);
   ev_loop_destroy(mImpl->mLoop);
--- /dev/null
+++ b/libs/net/src/PeerSocket.cpp
@@ -0,0 +1,377 @@
+#include <net/PeerSocket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <unordered_map>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <net/SocketAddress.h>
+
+#include "WebSocketSession.h"
+
+namespace papayaway {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
+/** Accepted connections whose handshake is not done yet. */
+constexpr std::size_t kMaxPendingHandshakes = 512;
+
+void
+DisableNagle(int aDescriptor)
+{
+  const int on = 1;
+  setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace
+
+struct PeerSocket::Impl : std::enable_shared_from_this<PeerSocket::Impl>
+{
+  EventLoop& mLoop;
+  int mDescriptor;
+  PeerSocketOptions mOptions;
+  PeerSocketHandlers mHandlers;
+  std::unique_ptr<WebSocketSession> mSession;
+  std::unique_ptr<IoWatcher> mWatcher;
+  std::unique_ptr<Timer> mHandshakeTimer;
+  std::string mUnsent;
+  std::uint64_t mBytesSent = 0;
+  std::uint64_t mBytesReceived = 0;
+  bool mConnecting = false;
+  bool mFlushScheduled = false;
+  bool mOpen = false;
+  bool mEnded = false;
+
+  Impl(EventLoop& aLoop, int aDescriptor, const PeerSocketOptions& aOptions)
+    : mLoop(aLoop)
+    , mDescriptor(aDescriptor)
+    , mOptions(aOptions)
+  {
+  }
+
+  ~Impl()
+  {
+    mWatcher.reset();
+    if (mDescriptor >= 0) {
+      close(mDescriptor);
+    }
+  }
+
+  WebSocketHandlers SessionHandlers()
+  {
+    WebSocketHandlers handlers;
+    handlers.mWrite = [this](const char* aData, std::size_t aSize) {
+      mUnsent.append(aData, aSize);
+      ScheduleFlush();
+    };
+    handlers.mOpened = [this] {
+      mOpen = true;
+      mHandshakeTimer.reset();
+      // The callback may replace the handlers, itself among them.
+      const auto opened = std::move(mHandlers.mOpened);
+      opened();
+    };
+    handlers.mMessage = [this](std::string aMessage) {
+      if (!mEnded) {
+        mHandlers.mMessage(std::move(aMessage));
+      }
+    };
+    handlers.mClosed = [this](std::string aReason) { End(std::move(aReason)); };
+    handlers.mAuthorize = [](const std::string&) { return false; };
+    return handlers;
+  }
+
+  void Start(bool aConnecting)
+  {
+    mConnecting = aConnecting;
+    mWatcher = std::make_unique<IoWatcher>(
+      mLoop, mDescriptor, [this](bool aRead, bool aWrite) {
+        const std::shared_ptr<Impl> keep = shared_from_this();
+        OnReady(aRead, aWrite);
+      });
+    mWatcher->Watch(!aConnecting, aConnecting);
+    mHandshakeTimer = std::make_unique<Timer>(
+      mLoop, [this] { End("the handshake took too long"); });
+    mHandshakeTimer->StartOnce(mOptions.mHandshakeTimeout);
+  }
+
+  void OnReady(bool aRead, bool aWrite)
+  {
+    if (mConnecting) {
+      int error = 0;
+      socklen_t length = sizeof(error);
+      getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+      if (error != 0) {
+        End(std::string("can't connect: ") + std::strerror(error));
+        return;
+      }
+      mConnecting = false;
+      mWatcher->Watch(true, false);
+      Flush();
+      return;
+    }
+    if (aWrite) {
+      Flush();
+    }
+    if (aRead && !mEnded) {
+      Read();
+    }
+  }
+
+  void Read()
+  {
+    static std::array<char, kReadBufferSize> buffer;
+    const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+    if (length > 0) {
+      mBytesReceived += static_cast<std::uint64_t>(length);
+      mSession->Receive(buffer.data(), static_cast<std::size_t>(length));
+    } else if (length == 0) {
+      End("the peer closed the connection");
+    } else if (errno != EAGAIN && errno != EINTR) {
+      End(std::string("can't read: ") + std::strerror(errno));
+    }
+  }
+
+  void ScheduleFlush()
+  {
+    if (mFlushScheduled || mConnecting || mEnded) {
+      return;
+    }
+    mFlushScheduled = true;
+    mLoop.Defer([self = shared_from_this()] {
+      self->mFlushScheduled = false;
+      self->Flush();
+    });
+  }
+
+  void Flush()
+  {
+    if (mEnded || mConnecting || mUnsent.empty()) {
+      return;
+    }
+    const ssize_t length =
+      send(mDescriptor, mUnsent.data(), mUnsent.size(), MSG_NOSIGNAL);
+    if (length < 0 && errno != EAGAIN && errno != EINTR) {
+      End(std::string("can't write: ") + std::strerror(errno));
+      return;
+    }
+    if (length > 0) {
+      mBytesSent += static_cast<std::uint64_t>(length);
+      mUnsent.erase(0, static_cast<std::size_t>(length));
+    }
+    if (mUnsent.size() > mOptions.mMaxUnsent) {
+      End("the peer reads too slowly");
+      return;
+    }
+    mWatcher->Watch(true, !mUnsent.empty());
+  }
+
+  void End(std::string aReason)
+  {
+    if (mEnded) {
+      return;
+    }
+    mEnded = true;
+    mOpen = false;
+    mHandshakeTimer.reset();
+    if (mWatcher) {
+      mWatcher->Watch(false, false);
+    }
+    // The owner may destroy the socket, which must not happen below a
+    // callback of the session.
+    mLoop.Defer([self = shared_from_this(), reason = std::move(aReason)] {
+      // Empty once the owner has destroyed the socket.
+      if (const auto closed = std::move(self->mHandlers.mClosed)) {
+        closed(reason);
+      }
+    });
+  }
+};
+
+PeerSocket::PeerSocket(std::shared_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+PeerSocket::~PeerSocket()
+{
+  if (mImpl) {
+    mImpl->mHandlers = {};
+    mImpl->mEnded = true;
+    mImpl->mHandshakeTimer.reset();
+    // The session may be on the stack, so it lives to the next iteration;
+    // the connection itself is closed now.
+    mImpl->mWatcher->Watch(false, false);
+    shutdown(mImpl->mDescriptor, SHUT_RDWR);
+    mImpl->mLoop.Defer([impl = mImpl] { static_cast<void>(impl); });
+  }
+}
+
+std::unique_ptr<PeerSocket>
+PeerSocket::Connect(EventLoop& aLoop,
+                    const std::string& aAddress,
+                    const std::string& aAuthorization,
+                    PeerSocketHandlers aHandlers,
+                    const PeerSocketOptions& aOptions)
+{
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  auto impl = std::make_shared<Impl>(aLoop, descriptor, aOptions);
+  impl->mHandlers = std::move(aHandlers);
+  impl->mConnecting = true;
+  impl->mSession = WebSocketSession::Connect(
+    aAddress, aAuthorization, impl->SessionHandlers());
+  impl->Start(true);
+  const Expected<sockaddr_in> address = ParseAddress(aAddress);
+  if (!address) {
+    impl->End(address.error().mMessage);
+  } else {
+    DisableNagle(descriptor);
+    if (connect(descriptor,
+                reinterpret_cast<const sockaddr*>(&*address),
+                sizeof(*address)) != 0 &&
+        errno != EINPROGRESS) {
+      impl->End(std::string("can't connect: ") + std::strerror(errno));
+    }
+  }
+  return std::unique_ptr<PeerSocket>(new PeerSocket(std::move(impl)));
+}
+
+void
+PeerSocket::SetHandlers(PeerSocketHandlers aHandlers)
+{
+  mImpl->mHandlers = std::move(aHandlers);
+}
+
+void
+PeerSocket::Send(const std::string& aMessage)
+{
+  if (!mImpl->mEnded) {
+    mImpl->mSession->Send(aMessage);
+  }
+}
+
+bool
+PeerSocket::IsOpen() const
+{
+  return mImpl->mOpen;
+}
+
+std::uint64_t
+PeerSocket::BytesSent() const
+{
+  return mImpl->mBytesSent;
+}
+
+std::uint64_t
+PeerSocket::BytesReceived() const
+{
+  return mImpl->mBytesReceived;
+}
+
+struct PeerListener::Impl
+{
+  EventLoop& mLoop;
+  PeerListenerHandlers mHandlers;
+  int mDescriptor = -1;
+  std::string mAddress;
+  std::unique_ptr<IoWatcher> mWatcher;
+  std::uint64_t mNextId = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<PeerSocket>> mPending;
+
+  Impl(EventLoop& aLoop, PeerListenerHandlers aHandlers)
+    : mLoop(aLoop)
+    , mHandlers(std::move(aHandlers))
+  {
+  }
+
+  void Accept()
+  {
+    const int descriptor =
+      accept4(mDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      return;
+    }
+    if (mPending.size() >= kMaxPendingHandshakes) {
+      close(descriptor);
+      return;
+    }
+    DisableNagle(descriptor);
+    auto impl = std::make_shared<PeerSocket::Impl>(
+      mLoop, descriptor, PeerSocketOptions{});
+    const std::uint64_t id = mNextId++;
+    impl->mHandlers.mOpened = [this, id] {
+      const auto found = mPending.find(id);
+      std::unique_ptr<PeerSocket> socket = std::move(found->second);
+      mPending.erase(found);
+      mHandlers.mAccepted(std::move(socket));
+    };
+    impl->mHandlers.mClosed = [this, id](const std::string&) {
+      mPending.erase(id);
+    };
+    WebSocketHandlers handlers = impl->SessionHandlers();
+    handlers.mAuthorize = mHandlers.mAuthorize;
+    impl->mSession = WebSocketSession::Accept(std::move(handlers));
+    impl->Start(false);
+    mPending.emplace(
+      id, std::unique_ptr<PeerSocket>(new PeerSocket(std::move(impl))));
+  }
+};
+
+PeerListener::PeerListener(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+PeerListener::~PeerListener()
+{
+  mImpl->mWatcher.reset();
+  mImpl->mPending.clear();
+  close(mImpl->mDescriptor);
+}
+
+Expected<std::unique_ptr<PeerListener>>
+PeerListener::Listen(EventLoop& aLoop,
+                     const std::string& aAddress,
+                     PeerListenerHandlers aHandlers)
+{
+  Expected<sockaddr_in> address = ParseAddress(aAddress);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t length = sizeof(*address);
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&*address), length) != 0 ||
+      listen(descriptor, kListenBacklog) != 0) {
+    const std::string reason = std::strerror(errno);
+    close(descriptor);
+    return Fail(ErrorCode::Unavailable,
+                "can't listen on " + aAddress + ": " + reason);
+  }
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&*address), &length);
+  auto impl = std::make_unique<Impl>(aLoop, std::move(aHandlers));
+  impl->mDescriptor = descriptor;
+  impl->mAddress = FormatAddress(*address);
+  Impl* const raw = impl.get();
+  impl->mWatcher = std::make_unique<IoWatcher>(
+    aLoop, descriptor, [raw](bool, bool) { raw->Accept(); });
+  impl->mWatcher->Watch(true, false);
+  return std::unique_ptr<PeerListener>(new PeerListener(std::move(impl)));
+}
+
+const std::string&
+PeerListener::Address() const
+{
+  return mImpl->mAddress;
+}
+
+} // namespace papayaway
