--- /dev/null
+++ b/libs/rollout/tests/MoveControllerTest.cpp
@@ -0,0 +1,106 @@
+#include <rollout/MoveController.h>
+
+#include <gtest/gtest.h>
+
+namespace papayaway {
+namespace {
+
+class MoveControllerTest : public testing::Test
+{
+protected:
+  /** Runs the move to its end or aUntil, with aCalls per second and version
+   *  of which aFailures of the new version fail. */
+  void Run(Millis aUntil, std::uint64_t aCalls, std::uint64_t aFailures)
+  {
+    for (; mNow < aUntil; mNow += Seconds(1)) {
+      for (const std::string version : { "v1", "v2" }) {
+        mWindow.Add({ .mService = "s",
+                      .mVersion = version,
+                      .mRoute = "/bids",
+                      .mCalls = aCalls,
+                      .mFailures = version == "v2" ? aFailures : 0,
+                      .mLatencySum = 5.0 * static_cast<double>(aCalls),
+                      .mLatencySquareSum = 26.0 * static_cast<double>(aCalls) },
+                    "dc",
+                    mNow);
+      }
+      if (const auto next = mController.Next(mInput, mWindow, mNow)) {
+        mInput.mCurrent = next;
+        mShares.push_back(next->mShare);
+        if (next->mState != MoveState::Running) {
+          return;
+        }
+      }
+    }
+  }
+
+  Millis mNow = Seconds(1000);
+  MoveController mController;
+  EvidenceWindow mWindow;
+  MoveInput mInput{ .mService = "s",
+                    .mMove = { .mTo = "v2" },
+                    .mOld = { "v1" },
+                    .mRoutes = { "/bids" },
+                    .mHoldsLease = true,
+                    .mToken = 7 };
+  std::vector<int> mShares;
+};
+
+// Guards against skipped steps and against a good version that never ends.
+TEST_F(MoveControllerTest, GoodVersionPassesEveryStep)
+{
+  Run(Seconds(1600), 10, 0);
+  EXPECT_EQ(mShares, (std::vector<int>{ 10, 50, 200, 500, 1000, 1000 }));
+  EXPECT_EQ(mInput.mCurrent->mState, MoveState::Finished);
+}
+
+// Guards against a move that waits for evidence past its deadline.
+TEST_F(MoveControllerTest, IdleServiceFinishesByDeadline)
+{
+  Run(Seconds(1600), 0, 0);
+  EXPECT_EQ(mInput.mCurrent->mState, MoveState::Finished);
+}
+
+// Guards against a faulty version that keeps its share.
+TEST_F(MoveControllerTest, FailingVersionIsTakenBack)
+{
+  Run(Seconds(1600), 4, 4);
+  EXPECT_EQ(mInput.mCurrent->mState, MoveState::TakenBack);
+  EXPECT_EQ(mShares, (std::vector<int>{ 10, 0 }));
+  EXPECT_NE(mInput.mCurrent->mReason.find("calls failed"), std::string::npos);
+}
+
+// Guards against a paused conductor that raises the share after another one
+// has taken over.
+TEST_F(MoveControllerTest, SupersededConductorDoesNothing)
+{
+  mInput.mCurrent = MoveFact{ .mService = "s",
+                              .mTo = "v2",
+                              .mStage = 1,
+                              .mShare = 10,
+                              .mStarted = mNow,
+                              .mToken = 8 };
+  Run(Seconds(1600), 10, 0);
+  EXPECT_TRUE(mShares.empty());
+  EXPECT_EQ(mController.Waiting(mInput), "this node is not the conductor");
+}
+
+// Guards against a move that ends without one call of the new version
+// although the service is busy.
+TEST_F(MoveControllerTest, BusyServiceWithoutNewCallsHolds)
+{
+  for (; mNow < Seconds(1700); mNow += Seconds(1)) {
+    mWindow.Add(
+      { .mService = "s", .mVersion = "v1", .mRoute = "/bids", .mCalls = 100 },
+      "dc",
+      mNow);
+    if (const auto next = mController.Next(mInput, mWindow, mNow)) {
+      mInput.mCurrent = next;
+    }
+  }
+  EXPECT_EQ(mInput.mCurrent->mStage, 1U);
+  EXPECT_EQ(mController.Waiting(mInput), "no call reaches the new version");
+}
+
+} // namespace
+} // namespace papayaway
