Read documents and node settings with located findings

Cause: the document and the settings of a node had headers but no parser, so nothing could check what an operator writes before it takes effect. The settings are read by libinih through a line source that also notices the lines for which libinih has no callback, since libinih returns only its first error. Overloads of ParseDocument() for std::string and literals are added, because a call with one of them was ambiguous between the JSON and the text form.

--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -22,6 +22,8 @@
     target_link_libraries(test_${name} PRIVATE ${name} ${ARG_TEST_DEPENDS}
       rapidcheck GTest::gtest_main)
     target_include_directories(test_${name} PRIVATE ${dir}/src)
+    target_compile_definitions(test_${name} PRIVATE
+      PAPAYAWAY_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     gtest_discover_tests(test_${name} TEST_PREFIX "${name}."
       DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 240)
   endif()
--- a/libs/config/include/config/Document.h
+++ b/libs/config/include/config/Document.h
@@ -17,6 +17,8 @@
   std::string mName;
   int mShare = 0;
 
+  // clang-tidy 14 reports the 0 that the compiler puts into "(a <=> b) < 0".
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const VersionShare&) const = default;
 };
 
@@ -29,6 +31,7 @@
   /** Raised by the operator to try a version again that was taken back. */
   int mAttempt = 1;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const VersionMove&) const = default;
 };
 
@@ -42,6 +45,7 @@
   /** Connections that one endpoint accepts. */
   int mConnections = 1;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Service&) const = default;
 };
 
@@ -54,6 +58,7 @@
   bool mIdempotent = false;
   Millis mDeadline = Seconds(1);
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Route&) const = default;
 };
 
@@ -62,6 +67,7 @@
   std::string mName;
   std::vector<std::string> mDataCentres;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const RegionLayout&) const = default;
 };
 
@@ -73,6 +79,7 @@
   std::vector<Service> mServices;
   std::vector<Route> mRoutes;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Document&) const = default;
 
   /** @return the service named aName, or nullptr. */
--- a/libs/config/include/config/DocumentParser.h
+++ b/libs/config/include/config/DocumentParser.h
@@ -21,6 +21,19 @@
 tl::expected<Document, Findings> ParseDocument(std::string_view aText,
                                                const std::string& aFile = "");
 
+/** The same. A std::string or a literal converts to a JSON value as well as to
+ *  a view, so without these overloads a call with one would be ambiguous. */
+inline tl::expected<Document, Findings>
+ParseDocument(const std::string& aText, const std::string& aFile = "")
+{
+  return ParseDocument(std::string_view(aText), aFile);
+}
+inline tl::expected<Document, Findings>
+ParseDocument(const char* aText, const std::string& aFile = "")
+{
+  return ParseDocument(std::string_view(aText), aFile);
+}
+
 /** The same for a parsed document, whose findings have no lines. */
 tl::expected<Document, Findings> ParseDocument(const nlohmann::json& aJson);
 
--- /dev/null
+++ b/libs/config/src/IniReader.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <base/Finding.h>
+
+namespace papayaway {
+
+/** One "key = value" line. */
+struct IniEntry
+{
+  std::string mSection;
+  std::string mKey;
+  std::string mValue;
+  int mLine = 0;
+};
+
+/** The content of an INI file in the order of its lines. */
+struct IniContent
+{
+  /** The header lines; mKey and mValue are empty. */
+  std::vector<IniEntry> mSections;
+  std::vector<IniEntry> mEntries;
+};
+
+/** Reads aText; lines that are neither blank, comment, section nor entry are
+ *  reported to aFindings. */
+IniContent ReadIni(std::string_view aText,
+                   const std::string& aFile,
+                   Findings& aFindings);
+
+} // namespace papayaway
