Add peer messages, the fact store, overlay links and the document log

Cause: nodes need one form for what they send each other and one result for what they know, whatever the order of arrival.

Change: wire encodes and decodes every peer message as a CBOR map, from one list of fields per type for both directions. The CBOR parser of the JSON library recurses per nested container and throws for impossible lengths, even with exceptions turned off, so a scan in constant stack runs before it. Facts have a total order per key; the encoded form decides where the rule of the kind doesn't. mesh holds the fact store with incremental digests and tombstones, the choice of links, and the document log. The patch function of the JSON library asserts when a step adds below a string or a number, and "copy" steps can double a document repeatedly; both are refused before it runs.

Before: headers only.

Conclusion: the daemon can use messages, facts, links and documents.

--- a/libs/base/include/base/Millis.h
+++ b/libs/base/include/base/Millis.h
@@ -15,6 +15,8 @@
 {
   double mCount = 0;
 
+  // clang-tidy 14 reports the 0 that the compiler puts into "(a <=> b) < 0".
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Millis&) const = default;
 
   constexpr Millis operator+(Millis aOther) const
--- /dev/null
+++ b/libs/mesh/src/DocumentLog.cpp
@@ -0,0 +1,242 @@
+#include <mesh/DocumentLog.h>
+
+#include <algorithm>
+#include <string_view>
+
+#include <base/Hash.h>
+
+namespace papayaway {
+
+namespace {
+
+using nlohmann::json;
+
+/** More levels than any document has. The JSON library serialises by
+ *  recursion, so the depth of input is bounded. */
+constexpr std::size_t kMaxLevels = 64;
+
+/** @return the JSON value, or none if aText is malformed or too deep. */
+std::optional<json>
+ParseBounded(const std::string& aText)
+{
+  std::size_t level = 0;
+  bool inString = false;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const char letter = aText[i];
+    if (inString) {
+      i += letter == '\\' ? 1 : 0;
+      inString = letter != '"';
+    } else if (letter == '"') {
+      inString = true;
+    } else if (letter == '[' || letter == '{') {
+      if (++level > kMaxLevels) {
+        return std::nullopt;
+      }
+    } else if ((letter == ']' || letter == '}') && level > 0) {
+      --level;
+    }
+  }
+  json value = json::parse(aText, nullptr, false);
+  if (value.is_discarded()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** @return whether aPatch has only the operations that MakeDelta() uses. The
+ *    operation "copy" could double the document with each repetition. */
+bool
+IsPlainPatch(const json& aPatch)
+{
+  if (!aPatch.is_array()) {
+    return false;
+  }
+  return std::all_of(aPatch.begin(), aPatch.end(), [](const json& aStep) {
+    if (!aStep.is_object()) {
+      return false;
+    }
+    const auto operation = aStep.find("op");
+    const auto path = aStep.find("path");
+    if (operation == aStep.end() || path == aStep.end() || !path->is_string()) {
+      return false;
+    }
+    const auto& pointer = path->get_ref<const std::string&>();
+    return (*operation == "add" || *operation == "remove" ||
+            *operation == "replace") &&
+           std::count(pointer.begin(), pointer.end(), '/') <=
+             static_cast<std::ptrdiff_t>(kMaxLevels);
+  });
+}
+
+/** @return whether the library can add at aPointer. It asserts, rather than
+ *  throws, when the parent is a string or a number. */
+bool
+HasContainerFor(const json& aDocument, const json::json_pointer& aPointer)
+{
+  return aPointer.empty() ||
+         aDocument.at(aPointer.parent_pointer()).is_structured();
+}
+
+/** @return the result, or none if aPatch does not fit aDocument. */
+std::optional<json>
+Patched(json aDocument, const json& aPatch)
+{
+  try {
+    for (const json& step : aPatch) {
+      const json::json_pointer pointer(step.at("path").get<std::string>());
+      if (!HasContainerFor(aDocument, pointer)) {
+        return std::nullopt;
+      }
+      aDocument.patch_inplace(json::array({ step }));
+    }
+    return aDocument;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+Findings
+OneFinding(std::string aMessage)
+{
+  return { Finding{ .mMessage = std::move(aMessage) } };
+}
+
+} // namespace
+
+std::uint64_t
+DocumentLog::Hash() const
+{
+  return Hash64(mText);
+}
+
+json
+DocumentLog::Current() const
+{
+  return mVersion == 0 ? json() : json::parse(mText);
+}
+
+ApplyReport
+DocumentLog::Refuse(std::uint64_t aVersion, Findings aFindings)
+{
+  mRefusedVersion = std::max(mRefusedVersion, aVersion);
+  return { ApplyResult::Refused, std::move(aFindings) };
+}
+
+DocumentLog::Candidate
+DocumentLog::Prepare(const DocumentDelta& aDelta)
+{
+  const auto failed = [](ApplyResult aResult) {
+    return Candidate{ .mReport = { .mResult = aResult } };
+  };
+  if (aDelta.mVersion <= mVersion) {
+    return failed(ApplyResult::AlreadyKnown);
+  }
+  if (aDelta.mBaseVersion != mVersion) {
+    return failed(ApplyResult::BaseMissing);
+  }
+  const std::optional<json> patch = ParseBounded(aDelta.mPatch);
+  if (!patch || !IsPlainPatch(*patch)) {
+    return failed(ApplyResult::BaseMissing);
+  }
+  std::optional<json> result = Patched(Current(), *patch);
+  if (!result) {
+    return failed(ApplyResult::BaseMissing);
+  }
+  std::string text = result->dump();
+  if (Hash64(text) != aDelta.mHash) {
+    return failed(ApplyResult::BaseMissing);
+  }
+  return { .mJson = std::move(result), .mText = std::move(text) };
+}
+
+DocumentLog::Candidate
+DocumentLog::Prepare(const DocumentWhole& aWhole)
+{
+  if (aWhole.mVersion <= mVersion) {
+    return { .mReport = { .mResult = ApplyResult::AlreadyKnown } };
+  }
+  std::optional<json> value = ParseBounded(aWhole.mText);
+  if (!value) {
+    return { .mReport =
+               Refuse(aWhole.mVersion,
+                      OneFinding("not valid JSON, or too many levels")) };
+  }
+  std::string text = value->dump();
+  return { .mJson = std::move(value), .mText = std::move(text) };
+}
+
+void
+DocumentLog::Commit(const DocumentDelta& aDelta, std::string aText)
+{
+  mText = std::move(aText);
+  mVersion = aDelta.mVersion;
+  mHistory.push_back(aDelta);
+  mHistoryBytes += aDelta.mPatch.size();
+  while (mHistory.size() > mOptions.mMaxDeltas ||
+         mHistoryBytes > mOptions.mMaxHistoryBytes) {
+    mHistoryBytes -= mHistory.front().mPatch.size();
+    mHistory.pop_front();
+  }
+}
+
+void
+DocumentLog::Commit(const DocumentWhole& aWhole, std::string aText)
+{
+  mText = std::move(aText);
+  mVersion = aWhole.mVersion;
+  // The history no longer leads to the current version.
+  mHistory.clear();
+  mHistoryBytes = 0;
+}
+
+DocumentUpdate
+DocumentLog::Since(std::uint64_t aVersion) const
+{
+  if (aVersion >= mVersion) {
+    return std::monostate{};
+  }
+  const auto first = std::find_if(
+    mHistory.begin(), mHistory.end(), [aVersion](const DocumentDelta& aDelta) {
+      return aDelta.mBaseVersion == aVersion;
+    });
+  std::size_t bytes = 0;
+  for (auto delta = first; delta != mHistory.end(); ++delta) {
+    bytes += delta->mPatch.size();
+  }
+  if (first == mHistory.end() || bytes >= mText.size()) {
+    return DocumentWhole{ .mVersion = mVersion, .mText = mText };
+  }
+  return std::vector<DocumentDelta>(first, mHistory.end());
+}
+
+Expected<DocumentDelta>
+DocumentLog::MakeDelta(std::uint64_t aVersion, const std::string& aText) const
+{
+  if (aVersion <= mVersion) {
+    return Fail(ErrorCode::Conflict, "the version is not newer");
+  }
+  const std::optional<json> value = ParseBounded(aText);
+  if (!value) {
+    return Fail(ErrorCode::Invalid, "not valid JSON, or too many levels");
+  }
+  const std::string text = value->dump();
+  std::string patch = json::diff(Current(), *value).dump();
+  // An insertion near the start of a list can make the difference larger
+  // than the document.
+  if (patch.size() > text.size()) {
+    const json step = { { "op", "replace" },
+                        { "path", "" },
+                        { "value", *value } };
+    std::string replacement = json::array({ step }).dump();
+    patch =
+      std::min(patch, replacement, [](const auto& aLeft, const auto& aRight) {
+        return aLeft.size() < aRight.size();
+      });
+  }
+  return DocumentDelta{ .mBaseVersion = mVersion,
+                        .mVersion = aVersion,
+                        .mHash = Hash64(text),
+                        .mPatch = std::move(patch) };
+}
+
+} // namespace papayaway
--- a/libs/wire/include/wire/Facts.h
+++ b/libs/wire/include/wire/Facts.h
@@ -121,6 +121,9 @@
 /** @return the key, for example "member/nbo-1-a". */
 std::string FactKey(const Fact& aFact);
 
+/** @return the CBOR form of aFact, equal on every host. */
+std::string EncodeFact(const Fact& aFact);
+
 /** Decides between two facts of one key, independent of arrival order.
  *  @return whether aNew replaces aOld; false if they are equal. */
 bool Supersedes(const Fact& aNew, const Fact& aOld);
--- /dev/null
+++ b/libs/wire/src/CborScan.cpp
@@ -0,0 +1,118 @@
+#include "CborScan.h"
+
+#include <array>
+#include <cstdint>
+
+#include <wire/Bounds.h>
+
+namespace papayaway {
+
+namespace {
+
+constexpr std::size_t kMaxLevels = 6;
+
+enum MajorType : std::uint8_t
+{
+  Bytes = 2,
+  Text = 3,
+  Array = 4,
+  Map = 5,
+  Tag = 6,
+  Simple = 7,
+};
+
+class Scanner
+{
+public:
+  explicit Scanner(std::string_view aBytes)
+    : mBytes(aBytes)
+  {
+  }
+
+  const char* Run()
+  {
+    std::array<std::uint64_t, kMaxLevels> open{ 1 };
+    std::size_t level = 0;
+    std::size_t values = 0;
+    while (true) {
+      while (open[level] == 0) {
+        if (level == 0) {
+          return mAt == mBytes.size() ? nullptr : "bytes after the value";
+        }
+        --level;
+      }
+      --open[level];
+      if (++values > kMaxValues) {
+        return "too many values";
+      }
+      if (!Head()) {
+        return "malformed CBOR";
+      }
+      if (mType == Array || mType == Map) {
+        if (++level == kMaxLevels) {
+          return "too many nested levels";
+        }
+        open[level] = mType == Map ? 2 * mLength : mLength;
+      }
+    }
+  }
+
+private:
+  [[nodiscard]] std::uint64_t Left() const { return mBytes.size() - mAt; }
+
+  /** Reads the head of one value and skips the content of strings. */
+  bool Head()
+  {
+    if (Left() == 0) {
+      return false;
+    }
+    const auto first = static_cast<std::uint8_t>(mBytes[mAt++]);
+    mType = first >> 5;
+    const unsigned int detail = first & 0x1F;
+    mLength = detail;
+    if (detail >= 24) {
+      if (detail > 27) {
+        return false;
+      }
+      const std::size_t size = std::size_t{ 1 } << (detail - 24);
+      if (Left() < size) {
+        return false;
+      }
+      mLength = 0;
+      for (std::size_t i = 0; i < size; ++i) {
+        mLength = mLength << 8 | static_cast<std::uint8_t>(mBytes[mAt++]);
+      }
+    }
+    switch (mType) {
+      case Bytes:
+      case Text:
+        if (mLength > Left()) {
+          return false;
+        }
+        mAt += mLength;
+        return true;
+      case Array:
+      case Map:
+        return mLength <= Left();
+      case Tag:
+        return false;
+      default:
+        return true;
+    }
+  }
+
+  std::string_view mBytes;
+  std::size_t mAt = 0;
+  std::uint8_t mType = 0;
+  std::uint64_t mLength = 0;
+};
+
+} // namespace
+
+const char*
+ScanCbor(std::string_view aBytes)
+{
+  return Scanner(aBytes).Run();
+}
+
+} // namespace papayaway
