Add the daemon: entry proxy, target proxy, facts, links and the lab

Cause: the libraries needed a process that puts them to work, so that a promoted document governs real calls.

Change: papayaway-node with three listeners; links between nodes with authenticated handshakes; flooding of facts and document deltas with digest repair; calls over two hops; announcements of the local target; promotion by compare-and-set; the lab, which starts stand-ins and nodes as processes. Ruled out: a separate connection per call, which costs a handshake for each.

Before: no process.

--- /dev/null
+++ b/libs/node/src/AdminApi.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include <net/HttpServer.h>
+
+#include "NodeContext.h"
+
+namespace papayaway {
+
+/** The HTTP interface for operators, for metrics and for the local target. */
+class AdminApi
+{
+public:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  /** Answers a request; it may do so later. */
+  using Operation = std::function<void(const Exchange&)>;
+
+  enum class Access
+  {
+    /** Anybody who reaches the listener, like a target of this host. */
+    Open,
+    /** Callers with the operator token. */
+    Operator,
+  };
+
+  explicit AdminApi(NodeContext& aContext);
+
+  /** Adds an operation for a method and a path. */
+  void Add(const std::string& aMethod,
+           const std::string& aPath,
+           Access aAccess,
+           Operation aOperation);
+
+  void OnRequest(const Exchange& aExchange) const;
+
+private:
+  struct Entry
+  {
+    Access mAccess;
+    Operation mOperation;
+  };
+
+  [[nodiscard]] bool HasToken(const HttpRequest& aRequest) const;
+
+  NodeContext& mContext;
+  std::map<std::string, Entry> mOperations;
+};
+
+/** @return a response with a JSON error text. */
+HttpResponse AdminError(int aStatus, const std::string& aText);
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/EntryProxy.cpp
@@ -0,0 +1,373 @@
+#include "EntryProxy.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <base/Hash.h>
+
+#include "Outcomes.h"
+
+namespace papayaway {
+
+namespace {
+
+constexpr int kMaxAttempts = 4;
+constexpr std::size_t kMaxActiveCalls = 10000;
+constexpr std::size_t kMaxKeyLength = 256;
+/** The serving node ends a call at its deadline; its answer gets this much
+ *  more time to arrive. */
+constexpr Millis kReplyGrace{ 30 };
+constexpr Millis kMinTimeLeft{ 1 };
+
+int
+ParseCount(std::string_view aText, int aDefault)
+{
+  int value = aDefault;
+  std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  return value;
+}
+
+bool
+Contains(const std::vector<std::string>& aList, std::string_view aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+Call
+CallOf(const HttpRequest& aRequest, const Route& aRoute)
+{
+  Call call{ .mService = aRoute.mService,
+             .mRoute = aRoute.mPrefix,
+             .mIdempotent = aRoute.mIdempotent,
+             .mMethod = aRequest.mMethod,
+             .mPath = aRequest.mPath,
+             .mQuery = aRequest.mQuery,
+             .mHeaders = aRequest.mHeaders.Fields(),
+             .mBody = aRequest.mBody };
+  call.mKey = std::string(aRequest.mHeaders.Value(kKeyHeader));
+  call.mAttempt =
+    std::max(0, ParseCount(aRequest.mHeaders.Value(kAttemptHeader), 0));
+  call.mTimeLeft = aRoute.mDeadline;
+  if (aRequest.mHeaders.Contains(kDeadlineHeader)) {
+    const int left = ParseCount(aRequest.mHeaders.Value(kDeadlineHeader), 0);
+    call.mTimeLeft =
+      std::min(call.mTimeLeft, Millis{ static_cast<double>(left) });
+  }
+  return call;
+}
+
+} // namespace
+
+EntryProxy::EntryProxy(NodeContext& aContext,
+                       PeerLinks& aLinks,
+                       const FactStore& aFacts,
+                       TargetProxy& aTargetProxy,
+                       EntryProxyHandlers aHandlers)
+  : mContext(aContext)
+  , mLinks(aLinks)
+  , mFacts(aFacts)
+  , mTargetProxy(aTargetProxy)
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+void
+EntryProxy::OnSnapshot(std::shared_ptr<const RouteTable> aTable)
+{
+  mTable = std::move(aTable);
+  mPicker.OnSnapshot(*mTable, SteadyNow());
+}
+
+void
+EntryProxy::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  mContext.mMetrics.mCalls.Increment();
+  const HttpRequest& request = aExchange->Request();
+  if (!mTable) {
+    Respond(*aExchange, NotRunReply(503, "no document is in force here"));
+    return;
+  }
+  const RouteMatch match = mTable->FindRoute(request.mMethod, request.mPath);
+  if (match.mRoute == nullptr) {
+    Respond(*aExchange,
+            match.mMethodNotAllowed
+              ? NotRunReply(405, "the route does not take this method")
+              : NotRunReply(404, "no route matches the path"));
+    return;
+  }
+  ActiveCall active{ .mExchange = aExchange,
+                     .mCall = CallOf(request, *match.mRoute),
+                     .mArrived = SteadyNow() };
+  const Call& call = active.mCall;
+  if (!call.mIdempotent &&
+      (call.mKey.empty() || call.mKey.size() > kMaxKeyLength)) {
+    Respond(*aExchange,
+            NotRunReply(400,
+                        "the route needs an Idempotency-Key of at most 256 "
+                        "characters"));
+    return;
+  }
+  if (mHandlers.mIsQuarantined(call)) {
+    Respond(*aExchange, NotRunReply(422, "the request is quarantined"));
+    return;
+  }
+  if (mCalls.size() >= kMaxActiveCalls) {
+    Respond(*aExchange, NotRunReply(503, "too many calls are in flight here"));
+    return;
+  }
+  active.mCustomer = std::string(
+    request.mHeaders.Value(mTable->SourceDocument().mCustomerHeader));
+  active.mDeadline = active.mArrived + call.mTimeLeft;
+  active.mLastReply = NotRunReply(503, "no endpoint is ready");
+  const std::uint64_t id = mNextId++;
+  active.mCall.mId = id;
+  active.mTimeout =
+    std::make_unique<Timer>(mContext.mLoop, [this, id] { OnTimeout(id); });
+  active.mTimeout->StartOnce(call.mTimeLeft + kReplyGrace);
+  aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
+  mRetryTokens = std::min(mRetryTokens + 0.1, 100.0);
+  mCalls.emplace(id, std::move(active));
+  Dispatch(id);
+}
+
+std::string
+EntryProxy::ChooseVersion(const ActiveCall& aActive)
+{
+  const Call& call = aActive.mCall;
+  int sum = 0;
+  for (const VersionShare& share : mTable->Shares(call.mService)) {
+    sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
+  }
+  if (sum == 0) {
+    return {};
+  }
+  // The same key draws the same version, so that its repetition finds the
+  // recorded outcome.
+  const std::uint64_t draw =
+    call.mIdempotent ? mContext.mRandom() : Hash64(call.mKey);
+  int point = static_cast<int>(draw % static_cast<std::uint64_t>(sum));
+  for (const VersionShare& share : mTable->Shares(call.mService)) {
+    if (Contains(aActive.mExcludedVersions, share.mName)) {
+      continue;
+    }
+    point -= share.mShare;
+    if (point < 0) {
+      return share.mName;
+    }
+  }
+  return {};
+}
+
+const Endpoint*
+EntryProxy::Choose(ActiveCall& aActive)
+{
+  Call& call = aActive.mCall;
+  call.mVersion = ChooseVersion(aActive);
+  if (call.mVersion.empty()) {
+    return nullptr;
+  }
+  if (call.mIdempotent) {
+    return mPicker.Pick(*mTable,
+                        { .mService = call.mService,
+                          .mVersion = call.mVersion,
+                          .mDataCentre = mContext.mSettings.mDataCentre,
+                          .mRegion = mContext.mSettings.mRegion,
+                          .mExcluded = aActive.mExcludedNodes,
+                          .mNow = SteadyNow() },
+                        mContext.mRandom);
+  }
+  const Endpoint* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (const Endpoint& endpoint :
+       mTable->Endpoints(call.mService, call.mVersion)) {
+    const std::uint64_t rank = Hash64(call.mKey, Hash64(endpoint.mNode));
+    if (!Contains(aActive.mExcludedNodes, endpoint.mNode) &&
+        (best == nullptr || rank > bestRank)) {
+      best = &endpoint;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void
+EntryProxy::Dispatch(std::uint64_t aId)
+{
+  ActiveCall& active = mCalls.at(aId);
+  const Millis now = SteadyNow();
+  active.mCall.mTimeLeft = active.mDeadline - now;
+  if (active.mCall.mTimeLeft < kMinTimeLeft) {
+    Answer(aId, NotRunReply(504, "the deadline passed before the call ran"));
+    return;
+  }
+  const Endpoint* const endpoint = Choose(active);
+  if (endpoint == nullptr) {
+    const Reply last = active.mLastReply;
+    Answer(aId, last);
+    return;
+  }
+  active.mNode = endpoint->mNode;
+  active.mSlots = endpoint->mSlots;
+  active.mSent = now;
+  ++active.mAttempts;
+  mPicker.OnSent(active.mNode, now);
+  if (active.mNode == mContext.mSettings.mName) {
+    active.mLink = 0;
+    const int attempt = active.mAttempts;
+    const ServedId served =
+      mTargetProxy.Serve(active.mCall, [this, aId](Reply aReply) {
+        HandleReply(aId, std::move(aReply));
+      });
+    // The reply may have come already and led to another attempt.
+    const auto found = mCalls.find(aId);
+    if (found != mCalls.end() && found->second.mAttempts == attempt) {
+      found->second.mServed = served;
+    }
+    return;
+  }
+  const MemberFact* const member = mFacts.Member(active.mNode);
+  active.mLink = mLinks.SendToNode(
+    active.mNode, member == nullptr ? "" : member->mPeerAddress, active.mCall);
+  if (active.mLink == 0) {
+    HandleReply(aId, NotRunReply(503, "the node can't be reached"));
+  }
+}
+
+void
+EntryProxy::OnReply(const Reply& aReply)
+{
+  HandleReply(aReply.mId, aReply);
+}
+
+bool
+EntryProxy::MayRetry(const ActiveCall& aActive, const Reply& aReply)
+{
+  const Call& call = aActive.mCall;
+  if (aActive.mAttempts >= kMaxAttempts) {
+    return false;
+  }
+  if (IsExposureRefusal(aReply)) {
+    return true;
+  }
+  const bool repeatable =
+    aReply.mOutcome == Outcome::NotRun
+      ? aReply.mStatus == 503
+      : call.mIdempotent && aReply.mOutcome == Outcome::Unknown;
+  // A call that is itself a retry is not retried again, so that retries do
+  // not multiply along a chain of calls.
+  if (!repeatable || call.mAttempt > 0 || mRetryTokens < 1) {
+    return false;
+  }
+  mRetryTokens -= 1;
+  return true;
+}
+
+void
+EntryProxy::HandleReply(std::uint64_t aId, Reply aReply)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  ActiveCall& active = found->second;
+  const Millis now = SteadyNow();
+  mPicker.OnReply(active.mNode,
+                  aReply.mOutcome,
+                  aReply.mLoad,
+                  active.mSlots,
+                  now - active.mSent,
+                  now,
+                  mContext.mRandom);
+  if (!MayRetry(active, aReply)) {
+    Answer(aId, aReply);
+    return;
+  }
+  mContext.mMetrics.mRetries.Increment();
+  if (IsExposureRefusal(aReply)) {
+    active.mExcludedVersions.push_back(active.mCall.mVersion);
+  } else {
+    active.mExcludedNodes.push_back(active.mNode);
+  }
+  active.mLastReply = std::move(aReply);
+  Dispatch(aId);
+}
+
+void
+EntryProxy::OnLinkLost(LinkId aLink)
+{
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, active] : mCalls) {
+    if (active.mLink == aLink) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : lost) {
+    HandleReply(id, UnknownReply(502, "the link to the node was lost"));
+  }
+}
+
+void
+EntryProxy::CancelAttempt(const ActiveCall& aActive)
+{
+  if (aActive.mLink != 0) {
+    mLinks.Send(aActive.mLink, Cancel{ aActive.mCall.mId });
+  } else {
+    mTargetProxy.Cancel(aActive.mServed);
+  }
+}
+
+void
+EntryProxy::OnTimeout(std::uint64_t aId)
+{
+  ActiveCall& active = mCalls.at(aId);
+  mPicker.OnFailure(active.mNode, SteadyNow(), mContext.mRandom);
+  CancelAttempt(active);
+  Answer(aId, UnknownReply(504, "no answer came before the deadline"));
+}
+
+void
+EntryProxy::OnAbandoned(std::uint64_t aId)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  mPicker.OnAbandoned(found->second.mNode, SteadyNow());
+  CancelAttempt(found->second);
+  Answer(aId, UnknownReply(499, "the caller gave up"));
+}
+
+void
+EntryProxy::Answer(std::uint64_t aId, const Reply& aReply)
+{
+  const auto found = mCalls.find(aId);
+  const ActiveCall active = std::move(found->second);
+  mCalls.erase(found);
+  mContext.mMetrics.mCallLatency.Observe(
+    (SteadyNow() - active.mArrived).mCount);
+  Respond(*active.mExchange, aReply);
+  mHandlers.mAnswered(
+    active.mCall, active.mCustomer, aReply.mStatus, aReply.mOutcome);
+}
+
+void
+EntryProxy::Respond(HttpExchange& aExchange, const Reply& aReply)
+{
+  HttpResponse response{ .mStatus = aReply.mStatus, .mBody = aReply.mBody };
+  for (const auto& [name, value] : aReply.mHeaders) {
+    if (name != kRefusalHeader) {
+      response.mHeaders.Add(name, value);
+    }
+  }
+  response.mHeaders.Add(std::string(kOutcomeHeader),
+                        std::string(ToString(aReply.mOutcome)));
+  if (aReply.mOutcome == Outcome::NotRun) {
+    mContext.mMetrics.mRefusals.Increment();
+    if (aReply.mStatus == 503) {
+      response.mHeaders.Add("Retry-After", "1");
+    }
+  }
+  aExchange.Respond(std::move(response));
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/EntryProxy.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <mesh/FactStore.h>
+#include <net/HttpServer.h>
+#include <traffic/EndpointPicker.h>
+#include <traffic/RouteTable.h>
+#include <wire/Messages.h>
+
+#include "NodeContext.h"
+#include "PeerLinks.h"
+#include "TargetProxy.h"
+
+namespace papayaway {
+
+struct EntryProxyHandlers
+{
+  /** A call has been answered.
+   *  @param aCustomer the value of the customer header, or empty. */
+  std::function<
+    void(const Call&, const std::string& aCustomer, int aStatus, Outcome)>
+    mAnswered;
+  /** @return whether the request is refused because it crashes targets. */
+  std::function<bool(const Call&)> mIsQuarantined;
+};
+
+/** Takes the calls of callers and sends each to an endpoint. */
+class EntryProxy
+{
+public:
+  EntryProxy(NodeContext& aContext,
+             PeerLinks& aLinks,
+             const FactStore& aFacts,
+             TargetProxy& aTargetProxy,
+             EntryProxyHandlers aHandlers);
+
+  void OnRequest(const std::shared_ptr<HttpExchange>& aExchange);
+
+  void OnSnapshot(std::shared_ptr<const RouteTable> aTable);
+  void OnReply(const Reply& aReply);
+  /** Ends the calls that wait for a reply on a lost link. */
+  void OnLinkLost(LinkId aLink);
+
+  /** @return calls that wait for their answer. */
+  [[nodiscard]] std::size_t InFlight() const { return mCalls.size(); }
+
+private:
+  struct ActiveCall
+  {
+    std::shared_ptr<HttpExchange> mExchange;
+    Call mCall;
+    std::string mCustomer;
+    Millis mArrived;
+    Millis mDeadline;
+    Millis mSent;
+    std::string mNode;
+    int mSlots = 1;
+    /** 0 for the target of this host. */
+    LinkId mLink = 0;
+    ServedId mServed = 0;
+    std::vector<std::string> mExcludedNodes;
+    std::vector<std::string> mExcludedVersions;
+    int mAttempts = 0;
+    /** The refusal that is answered if no other endpoint takes the call. */
+    Reply mLastReply;
+    std::unique_ptr<Timer> mTimeout;
+  };
+
+  void Dispatch(std::uint64_t aId);
+  [[nodiscard]] const Endpoint* Choose(ActiveCall& aActive);
+  [[nodiscard]] std::string ChooseVersion(const ActiveCall& aActive);
+  void HandleReply(std::uint64_t aId, Reply aReply);
+  [[nodiscard]] bool MayRetry(const ActiveCall& aActive, const Reply& aReply);
+  void OnTimeout(std::uint64_t aId);
+  void OnAbandoned(std::uint64_t aId);
+  void CancelAttempt(const ActiveCall& aActive);
+  void Answer(std::uint64_t aId, const Reply& aReply);
+  void Respond(HttpExchange& aExchange, const Reply& aReply);
+
+  NodeContext& mContext;
+  PeerLinks& mLinks;
+  const FactStore& mFacts;
+  TargetProxy& mTargetProxy;
+  EntryProxyHandlers mHandlers;
+  std::shared_ptr<const RouteTable> mTable;
+  EndpointPicker mPicker;
+  std::uint64_t mNextId = 1;
+  std::unordered_map<std::uint64_t, ActiveCall> mCalls;
+  /** Tokens for retries: each call adds a tenth, each retry takes one. */
+  double mRetryTokens = 0;
+};
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/PlatformAgent.cpp
@@ -0,0 +1,326 @@
+#include "PlatformAgent.h"
+
+#include <algorithm>
+#include <set>
+
+#include <glog/logging.h>
+
+#include <base/Hash.h>
+#include <config/DocumentParser.h>
+#include <mesh/Overlay.h>
+
+#include "AdminApi.h"
+
+namespace papayaway {
+
+namespace {
+
+constexpr Millis kPollPeriod{ 500 };
+constexpr Millis kDirectoryPeriod = Seconds(1);
+
+std::string
+DocumentKey(const std::string& aEnvironment)
+{
+  return "documents/" + aEnvironment;
+}
+
+std::string
+DirectoryKey(const NodeSettings& aSettings)
+{
+  return "nodes/" + aSettings.mDataCentre + "/" + aSettings.mName;
+}
+
+nlohmann::json
+ToJson(const Findings& aFindings)
+{
+  nlohmann::json list = nlohmann::json::array();
+  for (const Finding& finding : aFindings) {
+    list.push_back({ { "line", finding.mLine },
+                     { "path", finding.mPath },
+                     { "message", finding.mMessage } });
+  }
+  return list;
+}
+
+std::uint64_t
+UnsignedField(const nlohmann::json& aObject, const char* aKey)
+{
+  const auto found = aObject.find(aKey);
+  return found != aObject.end() && found->is_number_unsigned()
+           ? found->get<std::uint64_t>()
+           : 0;
+}
+
+std::string
+TextField(const nlohmann::json& aObject, const char* aKey)
+{
+  const auto found = aObject.find(aKey);
+  return found != aObject.end() && found->is_string()
+           ? found->get<std::string>()
+           : std::string();
+}
+
+} // namespace
+
+PlatformAgent::PlatformAgent(NodeContext& aContext,
+                             PeerLinks& aLinks,
+                             FactSpreader& aSpreader,
+                             MemberAgent& aMembers)
+  : mContext(aContext)
+  , mLinks(aLinks)
+  , mSpreader(aSpreader)
+  , mMembers(aMembers)
+  , mHttp(aContext.mLoop, { .mMaxConnectionsPerServer = 4 })
+  , mClient(aContext.mLoop,
+            mHttp,
+            { .mAddress = aContext.mSettings.mPlatformAddress },
+            Random(aContext.mRandom()))
+  , mPollTimer(aContext.mLoop, [this] { Poll(); })
+  , mDirectoryTimer(aContext.mLoop, [this] { ScanDirectory(); })
+{
+}
+
+void
+PlatformAgent::Start(const std::string& aAdminAddress)
+{
+  mAdminAddress = aAdminAddress;
+  Register();
+  ScanDirectory();
+  Poll();
+}
+
+void
+PlatformAgent::Stop()
+{
+  mStopped = true;
+  mPollTimer.Stop();
+  mDirectoryTimer.Stop();
+  mClient.Commit({ .mOperation = RandomId(mContext.mRandom),
+                   .mDeletes = { DirectoryKey(mContext.mSettings) } },
+                 [](const Expected<CommitAnswer>&) {});
+}
+
+void
+PlatformAgent::OnPlatformAnswer(bool aAnswered)
+{
+  if (aAnswered == mAnswers) {
+    return;
+  }
+  mAnswers = aAnswered;
+  mContext.Record(
+    { .mPart = "platform",
+      .mKind = aAnswered ? EventKind::PlatformBack : EventKind::PlatformLost,
+      .mText = aAnswered ? "the platform answers again"
+                         : "the platform does not answer" });
+}
+
+void
+PlatformAgent::Register()
+{
+  mClient.Commit(
+    { .mOperation = RandomId(mContext.mRandom),
+      .mWrites = { { DirectoryKey(mContext.mSettings),
+                     { { "peer", mLinks.Address() },
+                       { "admin", mAdminAddress },
+                       { "region", mContext.mSettings.mRegion },
+                       { "incarnation", mContext.mIncarnation } } } } },
+    [this](const Expected<CommitAnswer>& aAnswer) {
+      mRegistered = aAnswer.has_value();
+    });
+}
+
+bool
+PlatformAgent::IsFirstInRank() const
+{
+  const std::string& dataCentre = mContext.mSettings.mDataCentre;
+  const auto rank = [&](const std::string& aNode) {
+    return Hash64(dataCentre + "/" + aNode);
+  };
+  const std::uint64_t own = rank(mContext.mSettings.mName);
+  const auto members = LiveMembers(mSpreader.Store(), dataCentre);
+  return std::none_of(
+    members.begin(), members.end(), [&](const std::string& aNode) {
+      return rank(aNode) < own;
+    });
+}
+
+void
+PlatformAgent::ScanDirectory()
+{
+  mDirectoryTimer.StartOnce(mContext.Jittered(kDirectoryPeriod));
+  if (!mRegistered) {
+    Register();
+  }
+  const bool isRelay = IsFirstInRank();
+  if (isRelay != mIsRelay) {
+    mIsRelay = isRelay;
+    if (isRelay) {
+      mSpreader.Publish(
+        RelayFact{ .mDataCentre = mContext.mSettings.mDataCentre,
+                   .mNode = mContext.mSettings.mName,
+                   .mPeerAddress = mLinks.Address(),
+                   .mToken = mContext.mIncarnation });
+    }
+    mMembers.SetRelay(isRelay);
+  }
+  if (!mLinks.MeshLinks().empty() && !mIsRelay) {
+    return;
+  }
+  const std::string prefix =
+    mIsRelay ? "nodes/" : "nodes/" + mContext.mSettings.mDataCentre + "/";
+  mClient.ScanRows(
+    prefix, [this](const Expected<std::vector<TableRow>>& aRows) {
+      OnPlatformAnswer(aRows.has_value());
+      if (!aRows || mStopped) {
+        return;
+      }
+      std::vector<std::string> addresses;
+      std::set<std::string> probed;
+      for (const TableRow& row : *aRows) {
+        const std::string address = TextField(row.mValue, "peer");
+        if (address.empty() || address == mLinks.Address()) {
+          continue;
+        }
+        addresses.push_back(address);
+        const std::string node = row.mKey.substr(row.mKey.rfind('/') + 1);
+        const std::string dataCentre = row.mKey.substr(0, row.mKey.rfind('/'));
+        if (mIsRelay && mSpreader.Store().Member(node) == nullptr &&
+            probed.insert(dataCentre).second) {
+          mLinks.Probe(address);
+        }
+      }
+      mMembers.SetCandidates(std::move(addresses));
+    });
+}
+
+void
+PlatformAgent::Poll()
+{
+  mPollTimer.StartOnce(mContext.Jittered(kPollPeriod));
+  if (!mIsRelay && mSpreader.Log().Version() != 0) {
+    return;
+  }
+  mClient.ReadRow(DocumentKey(mContext.mSettings.mEnvironment),
+                  [this](const Expected<TableRow>& aRow) {
+                    OnPlatformAnswer(aRow.has_value() ||
+                                     aRow.error().mCode == ErrorCode::NotFound);
+                    if (aRow && aRow->mValue.contains("document")) {
+                      mSpreader.ApplyFromPlatform(
+                        aRow->mVersion, aRow->mValue["document"].dump());
+                    }
+                  });
+}
+
+void
+PlatformAgent::OnPromote(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const auto body =
+    nlohmann::json::parse(aExchange->Request().mBody, nullptr, false);
+  if (!body.is_object() || !body.contains("document")) {
+    aExchange->Respond(AdminError(400, "the body has no document"));
+    return;
+  }
+  const auto document = ParseDocument(body["document"]);
+  if (!document) {
+    aExchange->Respond(JsonResponse(
+      422, nlohmann::json{ { "findings", ToJson(document.error()) } }.dump()));
+    return;
+  }
+  std::string operation = TextField(body, "operation");
+  if (operation.empty()) {
+    operation = RandomId(mContext.mRandom);
+  }
+  std::string environment = TextField(body, "environment");
+  if (environment.empty()) {
+    environment = mContext.mSettings.mEnvironment;
+  }
+  Commit(environment,
+         UnsignedField(body, "parent"),
+         body["document"],
+         operation,
+         aExchange);
+}
+
+void
+PlatformAgent::Commit(const std::string& aEnvironment,
+                      std::uint64_t aParent,
+                      const nlohmann::json& aDocument,
+                      const std::string& aOperation,
+                      const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string key = DocumentKey(aEnvironment);
+  const auto onCommitted = [this, key, aEnvironment, aDocument, aExchange](
+                             const Committed& aCommitted) {
+    const std::uint64_t version = aCommitted.mVersions.at(key);
+    mContext.Record({ .mPart = "platform",
+                      .mKind = EventKind::Promotion,
+                      .mVersion = std::to_string(version),
+                      .mText = "document version " + std::to_string(version) +
+                               " was promoted to " + aEnvironment });
+    if (aEnvironment == mContext.mSettings.mEnvironment) {
+      mSpreader.ApplyFromPlatform(version, aDocument.dump());
+    }
+    aExchange->Respond(
+      JsonResponse(200, nlohmann::json{ { "version", version } }.dump()));
+  };
+  const auto onConflict = [this, key, aExchange] {
+    mClient.ReadRow(key, [aExchange](const Expected<TableRow>& aRow) {
+      nlohmann::json winner{ { "error", "another promotion was first" } };
+      if (aRow) {
+        winner["version"] = aRow->mVersion;
+        winner["document"] = aRow->mValue["document"];
+      }
+      aExchange->Respond(JsonResponse(409, winner.dump()));
+    });
+  };
+  mClient.Commit(
+    { .mOperation = aOperation,
+      .mConditions = { { key, aParent } },
+      .mWrites = { { key, { { "document", aDocument } } } } },
+    [=](const Expected<CommitAnswer>& aAnswer) {
+      if (!aAnswer) {
+        const bool unknown = aAnswer.error().mCode == ErrorCode::OutcomeUnknown;
+        aExchange->Respond(JsonResponse(
+          503,
+          nlohmann::json{ { "outcome", unknown ? "unknown" : "not-run" },
+                          { "error", aAnswer.error().mMessage } }
+            .dump()));
+      } else if (const auto* const committed =
+                   std::get_if<Committed>(&*aAnswer)) {
+        onCommitted(*committed);
+      } else {
+        onConflict();
+      }
+    });
+}
+
+void
+PlatformAgent::OnDocumentRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  std::string environment = aExchange->Request().QueryValue("environment");
+  if (environment.empty() || environment == mContext.mSettings.mEnvironment) {
+    const DocumentLog& log = mSpreader.Log();
+    nlohmann::json answer{ { "version", log.Version() } };
+    if (log.Version() != 0) {
+      answer["document"] = nlohmann::json::parse(log.Text());
+    }
+    aExchange->Respond(JsonResponse(200, answer.dump()));
+    return;
+  }
+  mClient.ReadRow(
+    DocumentKey(environment), [aExchange](const Expected<TableRow>& aRow) {
+      if (!aRow) {
+        const bool missing = aRow.error().mCode == ErrorCode::NotFound;
+        aExchange->Respond(
+          AdminError(missing ? 404 : 503, aRow.error().mMessage));
+        return;
+      }
+      aExchange->Respond(
+        JsonResponse(200,
+                     nlohmann::json{ { "version", aRow->mVersion },
+                                     { "document", aRow->mValue["document"] } }
+                       .dump()));
+    });
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/TargetProxy.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <keys/KeyLedger.h>
+#include <net/HttpClient.h>
+#include <wire/Messages.h>
+
+#include "LocalTarget.h"
+#include "NodeContext.h"
+
+namespace papayaway {
+
+/** Identifies a call at this node. */
+using ServedId = std::uint64_t;
+
+struct TargetProxyHandlers
+{
+  /** A call on a non-idempotent route asks to run on a version that is being
+   *  moved to. @return false to refuse it as not run. */
+  std::function<bool(const Call&)> mAdmitExposure;
+  /** A call admitted by mAdmitExposure did not run after all. */
+  std::function<void(const Call&)> mReleaseExposure;
+  /** A call has ended at the target. */
+  std::function<void(const Call&, bool aFailed, Millis aLatency)> mObserved;
+};
+
+/** Gives calls to the target of this host, within its slots. */
+class TargetProxy
+{
+public:
+  using ReplyCallback = std::function<void(Reply)>;
+
+  TargetProxy(NodeContext& aContext,
+              LocalTarget& aTarget,
+              TargetProxyHandlers aHandlers);
+
+  /** Runs aCall; aCallback is called once, perhaps before this returns.
+   *  @return an id for Cancel(). */
+  ServedId Serve(Call aCall, ReplyCallback aCallback);
+
+  /** The caller has given up. An idempotent call is ended; the run of a key
+   *  goes on, so that its outcome is known. */
+  void Cancel(ServedId aId);
+
+  /** @return calls at the target and in the queue. */
+  [[nodiscard]] std::size_t Load() const;
+
+private:
+  struct Served
+  {
+    Call mCall;
+    ReplyCallback mCallback;
+    Millis mArrived;
+    Millis mDeadline;
+    Millis mSent;
+    HttpClient::CallId mHttpId = 0;
+    bool mAtTarget = false;
+    bool mExposed = false;
+  };
+
+  void Admit(ServedId aId);
+  void StartQueued();
+  void Send(ServedId aId);
+  void OnResult(ServedId aId, HttpResult aResult);
+  void Refuse(ServedId aId, const Reply& aReply);
+  void Finish(ServedId aId, Reply aReply);
+  bool AdmitKey(ServedId aId);
+  void FinishKey(const Call& aCall, const Reply& aReply);
+  void AnswerWaiters(const std::vector<std::uint64_t>& aWaiters,
+                     const Reply& aReply);
+  [[nodiscard]] std::size_t Slots() const;
+
+  NodeContext& mContext;
+  LocalTarget& mTarget;
+  TargetProxyHandlers mHandlers;
+  HttpClient mClient;
+  KeyLedger mKeys;
+  ServedId mNextId = 1;
+  std::unordered_map<ServedId, Served> mServed;
+  std::deque<ServedId> mQueue;
+  std::size_t mAtTarget = 0;
+  Timer mKeyExpiry;
+};
+
+} // namespace papayaway
--- /dev/null
+++ b/tools/papayaway-lab/Demo.cpp
@@ -0,0 +1,354 @@
+#include "Demo.h"
+
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <set>
+
+#include "Layouts.h"
+
+namespace papayaway {
+
+namespace {
+
+/** What the brief calls seconds: the target's time for a change. */
+constexpr Millis kInForce = Seconds(4);
+
+std::string
+Text(const std::optional<Millis>& aTime)
+{
+  return aTime ? std::to_string(aTime->Whole()) + " ms" : "not in time";
+}
+
+class Demo
+{
+public:
+  Demo(const std::string& aPrograms,
+       const std::string& aSamples,
+       Checks& aChecks)
+    : mCluster({ .mPrograms = aPrograms })
+    , mSamples(aSamples)
+    , mChecks(aChecks)
+  {
+  }
+
+  void Run()
+  {
+    StartEverything();
+    PromoteFirst();
+    ServeReads();
+    ServeBids();
+    RaceOperators();
+    KillAndRestart();
+    StopGracefully();
+    LosePlatform();
+    ShowTimeline();
+  }
+
+private:
+  [[nodiscard]] std::optional<Millis> WaitForVersion(std::uint64_t aVersion)
+  {
+    return mCluster.WaitUntil([&] {
+      const auto versions = mCluster.DocumentVersions();
+      return std::all_of(
+        versions.begin(), versions.end(), [&](const auto& aEntry) {
+          return aEntry.second >= aVersion;
+        });
+    });
+  }
+
+  [[nodiscard]] std::optional<Millis> WaitForReadyEndpoints(
+    std::size_t aExpected)
+  {
+    return mCluster.WaitUntil([&] {
+      for (const std::string& node : mCluster.NodeNames()) {
+        if (!mCluster.NodeProcess(node).IsRunning()) {
+          continue;
+        }
+        const auto [status, body] =
+          mCluster.Admin(node, "GET", "/v1/endpoints");
+        std::size_t ready = 0;
+        if (status == 200) {
+          for (const auto& endpoint : body["endpoints"]) {
+            ready += endpoint["state"] == "ready" ? 1 : 0;
+          }
+        }
+        if (ready != aExpected) {
+          return false;
+        }
+      }
+      return true;
+    });
+  }
+
+  void StartEverything()
+  {
+    const std::vector<NodePlan> plans = RafikiPlans();
+    mChecks.Step("start the platform's stand-in, " +
+                 std::to_string(plans.size()) +
+                 " nodes and their targets in two regions");
+    mCluster.StartPlatform();
+    mCluster.StartAll(plans);
+    const auto time = WaitForReadyEndpoints(plans.size());
+    mChecks.Check(time.has_value(),
+                  "every node knows every endpoint: " + Text(time));
+  }
+
+  void PromoteFirst()
+  {
+    mChecks.Step("promote the Rafiki document");
+    const auto version = mCluster.Promote(
+      mCluster.NodeNames().front(), ReadJson(mSamples + "/rafiki.json"), 0);
+    mChecks.Check(version.has_value(), "the promotion was accepted");
+    mVersion = version.value_or(0);
+    const auto time = WaitForVersion(mVersion);
+    mChecks.Check(time && *time < kInForce,
+                  "it is in force on every node within 4 s: " + Text(time));
+  }
+
+  void ServeReads()
+  {
+    mChecks.Step("read lot catalogues through every node");
+    int whole = 0;
+    int calls = 0;
+    for (int round = 0; round < 20; ++round) {
+      for (const std::string& node : mCluster.NodeNames()) {
+        const std::string path = "/lots/" + std::to_string(++calls);
+        const HttpResult result =
+          mCluster.CallThrough(node, { .mPath = path });
+        whole += result.mResponse.mStatus == 200 &&
+                     result.mResponse.mBody.find("\"" + path + "\"") !=
+                       std::string::npos
+                   ? 1
+                   : 0;
+      }
+    }
+    mChecks.Check(whole == calls,
+                  std::to_string(whole) + " of " + std::to_string(calls) +
+                    " callers got the whole answer to their own request");
+  }
+
+  HttpResult Bid(const std::string& aNode, const std::string& aKey)
+  {
+    return mCluster.CallThrough(
+      aNode,
+      { .mMethod = "POST",
+        .mPath = "/bids/lot-7",
+        .mHeaders = { { "Idempotency-Key", aKey },
+                      { "Papayaway-Customer", "rafiki" } },
+        .mBody = R"({"amount":100,"key":")" + aKey + "\"}" });
+  }
+
+  /** @return how often the targets ran each key. */
+  std::map<std::string, int> RunsByKey()
+  {
+    std::map<std::string, int> runs;
+    for (const std::string& node : mCluster.NodeNames()) {
+      if (!mCluster.TargetProcess(node).IsRunning()) {
+        continue;
+      }
+      const HttpResult result = mCluster.Send(
+        { .mAddress = mCluster.TargetProcess(node).Address("http"),
+          .mRequest = { .mPath = "/stats" } });
+      const auto stats =
+        nlohmann::json::parse(result.mResponse.mBody, nullptr, false);
+      if (stats.is_object() && stats.contains("keys")) {
+        for (const auto& [key, count] : stats["keys"].items()) {
+          runs[key] += count.get<int>();
+        }
+      }
+    }
+    return runs;
+  }
+
+  void ServeBids()
+  {
+    mChecks.Step("place 100 bids, each sent again through another node");
+    const auto& nodes = mCluster.NodeNames();
+    int ran = 0;
+    int replayed = 0;
+    for (std::size_t i = 0; i < 100; ++i) {
+      const std::string key = "bid-" + std::to_string(i);
+      const HttpResult first = Bid(nodes[i % nodes.size()], key);
+      const HttpResult again = Bid(nodes[(i + 3) % nodes.size()], key);
+      ran += first.mResponse.mStatus == 200 ? 1 : 0;
+      replayed +=
+        first.mResponse.mBody == again.mResponse.mBody ? 1 : 0;
+    }
+    mChecks.Check(ran == 100, std::to_string(ran) + " of 100 bids ran");
+    mChecks.Check(replayed == 100,
+                  std::to_string(replayed) +
+                    " of 100 repetitions got the recorded answer");
+    CheckNoKeyRanTwice();
+  }
+
+  void CheckNoKeyRanTwice()
+  {
+    const auto runs = RunsByKey();
+    const bool once = std::all_of(
+      runs.begin(), runs.end(), [](const auto& aRun) {
+        return aRun.second <= 1;
+      });
+    mChecks.Check(once,
+                  "none of " + std::to_string(runs.size()) +
+                    " keys ran twice");
+  }
+
+  void RaceOperators()
+  {
+    mChecks.Step("two operators promote against the same parent");
+    auto document = ReadJson(mSamples + "/rafiki.json");
+    document["routes"][0]["deadline_ms"] = 600;
+    const auto winner =
+      mCluster.Promote(mCluster.NodeNames()[1], document, mVersion);
+    document["routes"][0]["deadline_ms"] = 700;
+    const auto [status, body] =
+      mCluster.Admin(mCluster.NodeNames()[2],
+                     "POST",
+                     "/v1/promote",
+                     { { "environment", "production" },
+                       { "parent", mVersion },
+                       { "document", document } });
+    mChecks.Check(winner.has_value(), "one promotion wins");
+    mChecks.Check(status == 409 && winner && body["version"] == *winner,
+                  "the other is refused and told the winning version");
+    mVersion = winner.value_or(mVersion);
+    const auto time = WaitForVersion(mVersion);
+    mChecks.Check(time && *time < kInForce,
+                  "the winner is in force everywhere: " + Text(time));
+  }
+
+  void KillAndRestart()
+  {
+    mChecks.Step("kill two nodes with their targets and start them again");
+    const std::vector<std::string> victims{ mCluster.NodeNames()[0],
+                                            mCluster.NodeNames()[8] };
+    for (const std::string& node : victims) {
+      mCluster.NodeProcess(node).Kill();
+      mCluster.TargetProcess(node).Kill();
+    }
+    const auto gone =
+      WaitForReadyEndpoints(mCluster.NodeNames().size() - victims.size());
+    mChecks.Check(gone && *gone < Seconds(8),
+                  "the others stop routing to them: " + Text(gone));
+    for (const std::string& node : victims) {
+      const NodePlan plan = mCluster.Plan(node);
+      mCluster.StartNode(plan);
+      mCluster.StartTarget(plan);
+    }
+    const auto back = WaitForReadyEndpoints(mCluster.NodeNames().size());
+    mChecks.Check(back.has_value(), "they are back: " + Text(back));
+    const auto versions = mCluster.DocumentVersions();
+    mChecks.Check(std::all_of(versions.begin(),
+                              versions.end(),
+                              [&](const auto& aEntry) {
+                                return aEntry.second == mVersion;
+                              }),
+                  "every node has document version " +
+                    std::to_string(mVersion));
+  }
+
+  void StopGracefully()
+  {
+    mChecks.Step("stop a node on purpose while its target works");
+    const std::string& stopped = mCluster.NodeNames()[2];
+    int failed = 0;
+    int calls = 0;
+    int ended = 0;
+    std::unique_ptr<Timer> sender;
+    sender = std::make_unique<Timer>(mCluster.Loop(), [&] {
+      const std::string& node =
+        mCluster.NodeNames()[3 + static_cast<std::size_t>(calls) % 5];
+      ++calls;
+      mCluster.Client().Send(
+        { .mAddress = mCluster.NodeProcess(node).Address("caller"),
+          .mRequest = { .mPath = "/lots/x" } },
+        [&](const HttpResult& aResult) {
+          ++ended;
+          failed += aResult.mResponse.mStatus == 200 ? 0 : 1;
+        });
+    });
+    sender->StartRepeating({ 4 });
+    mCluster.RunFor({ 300 });
+    mCluster.NodeProcess(stopped).Signal(SIGTERM);
+    mCluster.RunFor({ 1500 });
+    sender->Stop();
+    mCluster.WaitUntil([&] { return ended == calls; });
+    mChecks.Check(failed == 0,
+                  "no call of " + std::to_string(calls) +
+                    " failed, " + std::to_string(failed) + " did");
+    const int code = mCluster.NodeProcess(stopped).Terminate();
+    mChecks.Check(code == 0, "the node ended by itself with exit code 0");
+    mCluster.TargetProcess(stopped).Terminate();
+    const NodePlan plan = mCluster.Plan(stopped);
+    mCluster.StartNode(plan);
+    mCluster.StartTarget(plan);
+    mChecks.Check(
+      WaitForReadyEndpoints(mCluster.NodeNames().size()).has_value(),
+      "its replacement is in service");
+  }
+
+  void LosePlatform()
+  {
+    mChecks.Step("take the platform away");
+    mCluster.SetPlatformFaults({ { "outage", true } });
+    const HttpResult bid = Bid(mCluster.NodeNames()[4], "bid-in-outage");
+    mChecks.Check(bid.mResponse.mStatus == 200, "bids go on");
+    const auto [status, body] =
+      mCluster.Admin(mCluster.NodeNames()[4],
+                     "POST",
+                     "/v1/promote",
+                     { { "environment", "production" },
+                       { "parent", mVersion },
+                       { "document", ReadJson(mSamples + "/rafiki.json") } });
+    mChecks.Check(status == 503, "a promotion is refused with its outcome");
+    const NodePlan plan = mCluster.Plan(mCluster.NodeNames()[5]);
+    mCluster.NodeProcess(plan.mName).Kill();
+    mCluster.StartNode(plan);
+    const auto time = WaitForVersion(mVersion);
+    const auto [code, node] = mCluster.Admin(plan.mName, "GET", "/v1/status");
+    mChecks.Check(time && code == 200 &&
+                    node["recovered_from"] == "neighbour",
+                  "a node that starts meanwhile gets its document from a "
+                  "neighbour: " +
+                    Text(time));
+    mCluster.SetPlatformFaults({ { "outage", false } });
+    mCluster.TargetProcess(plan.mName).Terminate();
+    mCluster.StartTarget(plan);
+  }
+
+  void ShowTimeline()
+  {
+    mChecks.Step("ask for the timeline");
+    std::size_t applied = 0;
+    for (const std::string& node : mCluster.NodeNames()) {
+      const auto [status, body] = mCluster.Admin(node, "GET", "/v1/timeline");
+      if (status != 200) {
+        continue;
+      }
+      for (const auto& event : body["events"]) {
+        applied += event["kind"] == "document-applied" ? 1 : 0;
+      }
+    }
+    mChecks.Check(applied >= mCluster.NodeNames().size(),
+                  std::to_string(applied) +
+                    " events tell where documents came into force");
+  }
+
+  Cluster mCluster;
+  std::string mSamples;
+  Checks& mChecks;
+  std::uint64_t mVersion = 0;
+};
+
+} // namespace
+
+void
+RunDemo(const std::string& aPrograms,
+        const std::string& aSamples,
+        Checks& aChecks)
+{
+  Demo(aPrograms, aSamples, aChecks).Run();
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/tools/papayaway-lab/Layouts.cpp
@@ -0,0 +1,119 @@
+#include "Layouts.h"
+
+#include <array>
+#include <fstream>
+#include <stdexcept>
+
+namespace papayaway {
+
+namespace {
+
+struct Place
+{
+  const char* mDataCentre;
+  const char* mRegion;
+};
+
+constexpr std::array<Place, 4> kRafikiPlaces{ { { "nbo-1", "nairobi" },
+                                                { "nbo-2", "nairobi" },
+                                                { "mba-1", "mombasa" },
+                                                { "mba-2", "mombasa" } } };
+
+std::string
+Numbered(const std::string& aPrefix, int aNumber)
+{
+  return aPrefix + std::to_string(aNumber);
+}
+
+} // namespace
+
+std::vector<NodePlan>
+ExtraPlans(const std::string& aService,
+           const std::string& aVersion,
+           int aCount)
+{
+  std::vector<NodePlan> plans;
+  for (int i = 0; i < aCount; ++i) {
+    const Place& place =
+      kRafikiPlaces[static_cast<std::size_t>(i) % kRafikiPlaces.size()];
+    plans.push_back(
+      { .mName =
+          Numbered(aService + "-" + aVersion + "-" + place.mDataCentre + "-", i),
+        .mDataCentre = place.mDataCentre,
+        .mRegion = place.mRegion,
+        .mService = aService,
+        .mVersion = aVersion });
+  }
+  return plans;
+}
+
+std::vector<NodePlan>
+RafikiPlans()
+{
+  std::vector<NodePlan> plans = ExtraPlans("ledger", "v1", 7);
+  const std::vector<NodePlan> hammer = ExtraPlans("hammer", "v1", 4);
+  plans.insert(plans.end(), hammer.begin(), hammer.end());
+  return plans;
+}
+
+std::vector<NodePlan>
+UniformPlans(int aCount, int aDataCentres, int aRegions, int aServices)
+{
+  std::vector<NodePlan> plans;
+  for (int i = 0; i < aCount; ++i) {
+    const int dataCentre = i % aDataCentres;
+    plans.push_back(
+      { .mName = Numbered("n", i),
+        .mDataCentre = Numbered("dc-", dataCentre),
+        .mRegion = Numbered("region-", dataCentre % aRegions),
+        .mService = Numbered("service-", (i / aDataCentres) % aServices) });
+  }
+  return plans;
+}
+
+nlohmann::json
+UniformDocument(int aDataCentres, int aRegions, int aServices)
+{
+  nlohmann::json document{ { "customer_header", "Papayaway-Customer" },
+                           { "regions", nlohmann::json::array() },
+                           { "services", nlohmann::json::array() },
+                           { "routes", nlohmann::json::array() } };
+  for (int region = 0; region < aRegions; ++region) {
+    nlohmann::json dataCentres = nlohmann::json::array();
+    for (int i = region; i < aDataCentres; i += aRegions) {
+      dataCentres.push_back(Numbered("dc-", i));
+    }
+    document["regions"].push_back({ { "name", Numbered("region-", region) },
+                                    { "data_centres", dataCentres } });
+  }
+  for (int i = 0; i < aServices; ++i) {
+    document["services"].push_back(
+      { { "name", Numbered("service-", i) },
+        { "versions", { { { "name", "v1" }, { "share", 1000 } } } },
+        { "slots", 12 },
+        { "connections", 120 } });
+    document["routes"].push_back({ { "prefix", Numbered("/read-", i) },
+                                   { "methods", { "GET" } },
+                                   { "service", Numbered("service-", i) },
+                                   { "idempotent", true },
+                                   { "deadline_ms", 1000 } });
+    document["routes"].push_back({ { "prefix", Numbered("/write-", i) },
+                                   { "methods", { "POST" } },
+                                   { "service", Numbered("service-", i) },
+                                   { "idempotent", false },
+                                   { "deadline_ms", 1000 } });
+  }
+  return document;
+}
+
+nlohmann::json
+ReadJson(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw std::runtime_error("can't read " + aPath);
+  }
+  return nlohmann::json::parse(file);
+}
+
+} // namespace papayaway
