Add the stand-in of the platform

A server that was destroyed with an unanswered request ended the process: libmicrohttpd panics in MHD_stop_daemon() if a connection is suspended. The server now resumes these connections first.

clang-tidy 14 reports modernize-use-nullptr at the defaulted operator<=> of Millis wherever two Millis are compared by '>' or '<'. The finding is wrong, as the zero is the compiler's own. It is suppressed on that line only.

Before: SIGTERM with a hanging request ended papayaway-platform with status 134.

--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -34,13 +34,36 @@
   endif()
 endfunction()
 
-# papayaway_tool(NAME DEPENDS targets...): the program of tools/NAME.
+# papayaway_tool(NAME DEPENDS targets...): the program of tools/NAME. All its
+# sources but Main.cpp are in the library NAME-parts, which its test program
+# from tests/*.cpp uses too.
 function(papayaway_tool name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
-  if(sources)
-    add_executable(${name} ${sources})
-    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::program_options)
-    install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+  set(dir ${CMAKE_CURRENT_SOURCE_DIR}/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  set(parts ${sources})
+  list(FILTER parts EXCLUDE REGEX "/Main\\.cpp$")
+  set(depends ${ARG_DEPENDS} Boost::program_options)
+  if(parts)
+    list(REMOVE_ITEM sources ${parts})
+    add_library(${name}-parts STATIC ${parts})
+    target_link_libraries(${name}-parts PUBLIC ${depends})
+    set(depends ${name}-parts)
+  endif()
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE ${depends})
+  install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+
+  file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*.cpp)
+  if(tests)
+    add_executable(test_${name} ${tests})
+    target_link_libraries(test_${name} PRIVATE ${depends} rapidcheck
+      GTest::gtest_main)
+    target_include_directories(test_${name} PRIVATE ${dir})
+    gtest_discover_tests(test_${name} TEST_PREFIX "${name}."
+      DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 240)
   endif()
 endfunction()
--- a/libs/base/include/base/Millis.h
+++ b/libs/base/include/base/Millis.h
@@ -15,6 +15,9 @@
 {
   double mCount = 0;
 
+  // clang-tidy 14 reports the 0 in the comparisons that the compiler derives
+  // from this operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Millis&) const = default;
 
   constexpr Millis operator+(Millis aOther) const
--- /dev/null
+++ b/libs/net/include/net/DelayedCalls.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include <base/Millis.h>
+#include <net/EventLoop.h>
+
+namespace papayaway {
+
+/**
+ * Many one-shot timers on one descriptor.
+ *
+ * Timer has the resolution of epoll_wait(), a whole millisecond. This class
+ * uses a timerfd, because work times and arrivals are shorter than that.
+ */
+class DelayedCalls
+{
+public:
+  explicit DelayedCalls(EventLoop& aLoop);
+  ~DelayedCalls();
+  DelayedCalls(const DelayedCalls&) = delete;
+  DelayedCalls& operator=(const DelayedCalls&) = delete;
+
+  /** Runs aCallback once after aDelay, never inside this call. Callbacks
+   *  that are pending when this object is destroyed do not run. */
+  void RunAfter(Millis aDelay, EventLoop::Callback aCallback);
+
+  /** Runs aCallback once at aTime of SteadyNow(). */
+  void RunAt(Millis aTime, EventLoop::Callback aCallback);
+
+  /** @return callbacks that have not run. */
+  [[nodiscard]] std::size_t Pending() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace papayaway
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -21,6 +21,9 @@
 
   [[nodiscard]] virtual const HttpRequest& Request() const = 0;
 
+  /** @return a number that only the requests of one connection share. */
+  [[nodiscard]] virtual std::uint64_t ConnectionId() const { return 0; }
+
   /** Sends the response; calls after the first have no effect. */
   virtual void Respond(HttpResponse aResponse) = 0;
 
@@ -62,6 +65,9 @@
   /** Closes the listening socket; open connections go on. */
   void StopAccepting();
 
+  /** @return open connections. */
+  [[nodiscard]] std::size_t Connections() const;
+
   /** @return requests that have not been answered whole. */
   [[nodiscard]] std::size_t InFlight() const;
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include <net/HttpServer.h>
 
 #include <cerrno>
+#include <unordered_set>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,6 +29,9 @@
   MHD_Daemon* mDaemon = nullptr;
   std::string mAddress;
   std::size_t mInFlight = 0;
+  std::size_t mConnections = 0;
+  std::uintptr_t mLastConnectionId = 0;
+  std::unordered_set<MhdExchange*> mSuspended;
   bool mRunScheduled = false;
   std::unique_ptr<IoWatcher> mEpollWatcher;
   std::unique_ptr<Timer> mTimer;
@@ -57,6 +61,7 @@
   ~MhdExchange() override = default;
 
   [[nodiscard]] const HttpRequest& Request() const override { return mRequest; }
+  [[nodiscard]] std::uint64_t ConnectionId() const override;
   void Respond(HttpResponse aResponse) override;
   void OnAbandoned(std::function<void()> aCallback) override
   {
@@ -65,6 +70,7 @@
 
   MHD_Result Access(const char* aUploadData, size_t* aUploadSize);
   void Complete(bool aSent);
+  void ResumeForShutdown();
 
   std::shared_ptr<MhdExchange> mSelf;
 
@@ -142,6 +148,7 @@
     return QueueResponse();
   }
   mSuspended = true;
+  mServer->mSuspended.insert(this);
   MHD_suspend_connection(mConnection);
   WatchForClose();
   return MHD_YES;
@@ -159,11 +166,33 @@
   if (mSuspended) {
     mCloseWatcher.reset();
     mSuspended = false;
+    mServer->mSuspended.erase(this);
     MHD_resume_connection(mConnection);
     mServer->ScheduleRun();
   }
 }
 
+std::uint64_t
+MhdExchange::ConnectionId() const
+{
+  if (mFinished) {
+    return 0;
+  }
+  return reinterpret_cast<std::uintptr_t>(
+    MHD_get_connection_info(mConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context);
+}
+
+void
+MhdExchange::ResumeForShutdown()
+{
+  // The owner of the server may be gone in part, so its callback is dropped.
+  mOnAbandoned = nullptr;
+  mCloseWatcher.reset();
+  mSuspended = false;
+  MHD_resume_connection(mConnection);
+}
+
 MHD_Result
 MhdExchange::QueueResponse()
 {
@@ -283,6 +312,21 @@
   exchange->Complete(aCode == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
+void
+OnConnection(void* aServer,
+             MHD_Connection*,
+             void** aContext,
+             MHD_ConnectionNotificationCode aCode)
+{
+  auto& server = *static_cast<HttpServer::Impl*>(aServer);
+  if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+    ++server.mConnections;
+    *aContext = reinterpret_cast<void*>(++server.mLastConnectionId);
+  } else {
+    --server.mConnections;
+  }
+}
+
 } // namespace
 
 void
@@ -322,6 +366,10 @@
 {
   mImpl->mEpollWatcher.reset();
   mImpl->mTimer.reset();
+  // libmicrohttpd ends the process if a connection is still suspended.
+  for (MhdExchange* const exchange : mImpl->mSuspended) {
+    exchange->ResumeForShutdown();
+  }
   if (mImpl->mDaemon != nullptr) {
     MHD_stop_daemon(mImpl->mDaemon);
   }
@@ -360,6 +408,9 @@
     MHD_OPTION_NOTIFY_COMPLETED,
     &OnCompleted,
     impl.get(),
+    MHD_OPTION_NOTIFY_CONNECTION,
+    &OnConnection,
+    impl.get(),
     MHD_OPTION_END);
   if (impl->mDaemon == nullptr) {
     return Fail(ErrorCode::Unavailable, "can't listen on " + aOptions.mAddress);
@@ -393,6 +444,12 @@
   }
 }
 
+std::size_t
+HttpServer::Connections() const
+{
+  return mImpl->mConnections;
+}
+
 std::size_t
 HttpServer::InFlight() const
 {
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -197,5 +197,27 @@
   EXPECT_TRUE(abandoned);
 }
 
+// Guards against an abort when a server stops with requests unanswered:
+// libmicrohttpd does not accept suspended connections at its end.
+TEST(HttpServer, StopsWithAnUnansweredRequest)
+{
+  EventLoop loop;
+  HttpClient client(loop, {});
+  std::shared_ptr<HttpExchange> kept;
+  auto server = HttpServer::Listen(
+    loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
+      kept = aExchange;
+      loop.Stop();
+    });
+  ASSERT_TRUE(server.has_value());
+  client.Send({ .mAddress = (*server)->Address() }, [](const HttpResult&) {});
+  loop.Run();
+  ASSERT_TRUE(kept);
+  EXPECT_EQ((*server)->Connections(), 1U);
+  EXPECT_NE(kept->ConnectionId(), 0U);
+  server->reset();
+  kept->Respond({});
+}
+
 } // namespace
 } // namespace papayaway
--- /dev/null
+++ b/tools/papayaway-platform/Operations.cpp
@@ -0,0 +1,25 @@
+#include "Operations.h"
+
+namespace papayaway {
+
+void
+Operations::Record(const std::string& aId, nlohmann::json aResult, Millis aNow)
+{
+  if (!mResults.emplace(aId, std::move(aResult)).second) {
+    return;
+  }
+  mAges.emplace_back(aNow, aId);
+  while (mAges.size() > mLimit || mAges.front().first + mRetention < aNow) {
+    mResults.erase(mAges.front().second);
+    mAges.pop_front();
+  }
+}
+
+const nlohmann::json*
+Operations::Result(std::string_view aId) const
+{
+  const auto found = mResults.find(aId);
+  return found == mResults.end() ? nullptr : &found->second;
+}
+
+} // namespace papayaway
