--- /dev/null
+++ b/tools/papayaway-target/SlotQueue.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace papayaway {
+
+/** The requests that run in the slots of a target and those that wait. */
+class SlotQueue
+{
+public:
+  using Id = std::uint64_t;
+
+  enum class Admission
+  {
+    Run,
+    Wait,
+    Shed,
+  };
+
+  explicit SlotQueue(std::size_t aSlots)
+    : mSlots(aSlots)
+    // A target queues little, so that overload shows as shedding and not as
+    // latency.
+    , mQueueLimit(std::max<std::size_t>(1, aSlots / 2))
+  {
+  }
+
+  /** Takes a slot for aId, or a place in the queue. */
+  Admission Admit(Id aId)
+  {
+    if (mRunning < mSlots) {
+      Start();
+      return Admission::Run;
+    }
+    if (mWaiting.size() < mQueueLimit) {
+      mWaiting.push_back(aId);
+      return Admission::Wait;
+    }
+    ++mShed;
+    return Admission::Shed;
+  }
+
+  /** Frees a slot. @return the request that takes it, if one waits. */
+  std::optional<Id> Finish()
+  {
+    --mRunning;
+    if (mWaiting.empty()) {
+      return std::nullopt;
+    }
+    const Id next = mWaiting.front();
+    mWaiting.pop_front();
+    Start();
+    return next;
+  }
+
+  /** Takes aId out of the queue. @return whether it was waiting. */
+  bool Withdraw(Id aId) { return std::erase(mWaiting, aId) > 0; }
+
+  [[nodiscard]] std::size_t Running() const { return mRunning; }
+  [[nodiscard]] std::size_t MaxRunning() const { return mMaxRunning; }
+  [[nodiscard]] std::size_t Waiting() const { return mWaiting.size(); }
+  [[nodiscard]] std::uint64_t Shed() const { return mShed; }
+
+private:
+  void Start()
+  {
+    ++mRunning;
+    mMaxRunning = std::max(mMaxRunning, mRunning);
+  }
+
+  std::size_t mSlots;
+  std::size_t mQueueLimit;
+  std::size_t mRunning = 0;
+  std::size_t mMaxRunning = 0;
+  std::uint64_t mShed = 0;
+  std::deque<Id> mWaiting;
+};
+
+} // namespace papayaway
