Add the platform client

Cause: nodes read and write the platform's table, leases and objects, and must not report a write as failed when only its reply was lost.

Change: PlatformClient with typed requests and results. If the first request may still arrive, an operation that is not known settles nothing, so the transaction is sent again with the same operation id, which the platform applies once. A commit ends with Unavailable only if no request can still take effect, and otherwise with OutcomeUnknown. Writes are one HTTP attempt each, because a refusal of a repetition inside libcurl would say nothing about the first attempt. The end of a lease is counted from before its request. DelayedCalls may now be destroyed by one of its own callbacks.

--- a/libs/net/include/net/DelayedCalls.h
+++ b/libs/net/include/net/DelayedCalls.h
@@ -34,7 +34,7 @@
 
 private:
   struct Impl;
-  std::unique_ptr<Impl> mImpl;
+  std::shared_ptr<Impl> mImpl;
 };
 
 } // namespace papayaway
--- a/libs/net/src/DelayedCalls.cpp
+++ b/libs/net/src/DelayedCalls.cpp
@@ -13,10 +13,14 @@
 {
   int mDescriptor = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
   std::multimap<Millis, EventLoop::Callback> mCalls;
+  EventLoop& mLoop;
   IoWatcher mWatcher;
+  bool mRunning = false;
+  bool mClosed = false;
 
   explicit Impl(EventLoop& aLoop)
-    : mWatcher(aLoop, mDescriptor, [this](bool, bool) { RunDue(); })
+    : mLoop(aLoop)
+    , mWatcher(aLoop, mDescriptor, [this](bool, bool) { RunDue(); })
   {
     mWatcher.Watch(true, false);
   }
@@ -43,17 +47,21 @@
     [[maybe_unused]] const ssize_t length =
       read(mDescriptor, &expirations, sizeof(expirations));
     const Millis now = SteadyNow();
-    while (!mCalls.empty() && mCalls.begin()->first <= now) {
+    mRunning = true;
+    while (!mClosed && !mCalls.empty() && mCalls.begin()->first <= now) {
       const EventLoop::Callback callback = std::move(mCalls.begin()->second);
       mCalls.erase(mCalls.begin());
       callback();
     }
-    Arm();
+    mRunning = false;
+    if (!mClosed) {
+      Arm();
+    }
   }
 };
 
 DelayedCalls::DelayedCalls(EventLoop& aLoop)
-  : mImpl(std::make_unique<Impl>(aLoop))
+  : mImpl(std::make_shared<Impl>(aLoop))
 {
 }
 
@@ -61,6 +69,11 @@
 {
   mImpl->mWatcher.Watch(false, false);
   close(mImpl->mDescriptor);
+  mImpl->mClosed = true;
+  if (mImpl->mRunning) {
+    // A callback destroys this object; its state must outlive that callback.
+    mImpl->mLoop.Defer([impl = mImpl] {});
+  }
 }
 
 void
--- /dev/null
+++ b/libs/platform/src/PlatformClientImpl.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <platform/PlatformClient.h>
+
+#include <utility>
+
+#include <net/DelayedCalls.h>
+
+#include "PlatformCodec.h"
+
+namespace papayaway {
+
+// Runs aDecode on a body; a malformed body becomes an error.
+template<typename Decode>
+auto
+Decoded(Decode aDecode) -> Expected<decltype(aDecode())>
+{
+  try {
+    return aDecode();
+  } catch (const nlohmann::json::exception& fault) {
+    return Fail(ErrorCode::Internal,
+                std::string("the platform's answer is malformed: ") +
+                  fault.what());
+  }
+}
+
+/** @return a request with a JSON body, or without a body. */
+inline HttpRequest
+MakeRequest(std::string aMethod, std::string aPath, std::string aBody = {})
+{
+  HttpRequest request{ .mMethod = std::move(aMethod),
+                       .mPath = std::move(aPath),
+                       .mBody = std::move(aBody) };
+  if (!request.mBody.empty()) {
+    request.mHeaders.Add("Content-Type", "application/json");
+  }
+  return request;
+}
+
+struct PlatformClient::Impl : std::enable_shared_from_this<Impl>
+{
+  using Handler = std::function<void(const HttpResult&)>;
+
+  // A transaction whose result is not known yet.
+  struct PendingCommit
+  {
+    Transaction mTransaction;
+    Callback<CommitAnswer> mCallback;
+    int mLookups = 0;
+    // Whether a request that was sent may still take effect.
+    bool mMayStillRun = false;
+  };
+  using CommitPointer = std::shared_ptr<PendingCommit>;
+
+  HttpClient& mHttp;
+  PlatformOptions mOptions;
+  Random mRandom;
+  DelayedCalls mDelayed;
+  std::size_t mPending = 0;
+  // Set after a timeout: pooled connections may have gone silent.
+  bool mDistrustsPool = false;
+
+  Impl(EventLoop& aLoop,
+       HttpClient& aHttp,
+       const PlatformOptions& aOptions,
+       Random aRandom)
+    : mHttp(aHttp)
+    , mOptions(aOptions)
+    , mRandom(aRandom)
+    , mDelayed(aLoop)
+  {
+  }
+
+  void Send(HttpRequest aRequest, Handler aHandler);
+
+  // Runs aCallback later unless the client is gone by then.
+  void RunAfter(Millis aDelay, EventLoop::Callback aCallback)
+  {
+    mDelayed.RunAfter(
+      aDelay, [weak = weak_from_this(), callback = std::move(aCallback)] {
+        if (const auto self = weak.lock()) {
+          callback();
+        }
+      });
+  }
+
+  // Sends one call that is counted as pending until its callback runs.
+  template<typename T>
+  void Call(HttpRequest&& aRequest,
+            Callback<T> aCallback,
+            std::function<Expected<T>(const HttpResult&)> aDecode);
+
+  template<typename T>
+  bool Admit(const Callback<T>& aCallback);
+
+  template<typename T>
+  void End(const Callback<T>& aCallback, Expected<T> aResult)
+  {
+    --mPending;
+    aCallback(std::move(aResult));
+  }
+
+  void Claim(const LeaseClaim& aClaim,
+             const LeaseToken* aToken,
+             Callback<LeaseAnswer> aCallback);
+  void SendCommit(const CommitPointer& aCommit);
+  void OnCommitResult(const CommitPointer& aCommit, const HttpResult& aResult);
+  void AskLater(const CommitPointer& aCommit);
+  void OnLookupResult(const CommitPointer& aCommit, const HttpResult& aResult);
+};
+
+template<typename T>
+bool
+PlatformClient::Impl::Admit(const Callback<T>& aCallback)
+{
+  ++mPending;
+  if (mPending <= mOptions.mMaxPending) {
+    return true;
+  }
+  RunAfter({}, [this, aCallback] {
+    End<T>(
+      aCallback,
+      Fail(ErrorCode::Refused, "there are too many calls to the platform"));
+  });
+  return false;
+}
+
+template<typename T>
+void
+PlatformClient::Impl::Call(
+  HttpRequest&& aRequest,
+  Callback<T> aCallback,
+  std::function<Expected<T>(const HttpResult&)> aDecode)
+{
+  if (!Admit(aCallback)) {
+    return;
+  }
+  const bool isRead = aRequest.mMethod == "GET";
+  Send(std::move(aRequest),
+       [this,
+        isRead,
+        callback = std::move(aCallback),
+        decode = std::move(aDecode)](const HttpResult& aResult) {
+         const WriteEffect effect = EffectOf(aResult);
+         Expected<T> result = Fail(ErrorCode::Internal, "");
+         if (effect == WriteEffect::Answered) {
+           result = decode(aResult);
+         } else {
+           result = tl::unexpected(ErrorOf(aResult));
+           if (!isRead) {
+             result.error().mCode = effect == WriteEffect::None
+                                      ? ErrorCode::Unavailable
+                                      : ErrorCode::OutcomeUnknown;
+           }
+         }
+         End(callback, std::move(result));
+       });
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/platform/src/PlatformCommit.cpp
@@ -0,0 +1,108 @@
+#include "PlatformClientImpl.h"
+
+#include <cmath>
+
+#include <net/PathEncoding.h>
+
+namespace papayaway {
+
+void
+PlatformClient::Impl::SendCommit(const CommitPointer& aCommit)
+{
+  Send(MakeRequest(
+         "POST", "/transactions", EncodeTransaction(aCommit->mTransaction)),
+       [this, aCommit](const HttpResult& aResult) {
+         OnCommitResult(aCommit, aResult);
+       });
+}
+
+void
+PlatformClient::Impl::OnCommitResult(const CommitPointer& aCommit,
+                                     const HttpResult& aResult)
+{
+  switch (EffectOf(aResult)) {
+    case WriteEffect::Answered: {
+      const std::string& body = aResult.mResponse.mBody;
+      Expected<CommitAnswer> answer = tl::unexpected(ErrorOf(aResult));
+      if (aResult.mResponse.mStatus == 200) {
+        answer =
+          Decoded([&]() -> CommitAnswer { return DecodeCommitted(body); });
+        if (!answer) {
+          answer.error().mCode = ErrorCode::OutcomeUnknown;
+        }
+      } else if (aResult.mResponse.mStatus == 409) {
+        answer =
+          Decoded([&]() -> CommitAnswer { return DecodeConflict(body); });
+      }
+      End(aCommit->mCallback, std::move(answer));
+      return;
+    }
+    case WriteEffect::None:
+      if (!aCommit->mMayStillRun) {
+        Error error = ErrorOf(aResult);
+        error.mCode = ErrorCode::Unavailable;
+        End<CommitAnswer>(aCommit->mCallback, tl::unexpected(std::move(error)));
+        return;
+      }
+      break;
+    case WriteEffect::ReplyLost:
+      break;
+    case WriteEffect::Unknown:
+      aCommit->mMayStillRun = true;
+      break;
+  }
+  AskLater(aCommit);
+}
+
+void
+PlatformClient::Impl::AskLater(const CommitPointer& aCommit)
+{
+  if (aCommit->mLookups >= mOptions.mMaxLookups) {
+    End<CommitAnswer>(
+      aCommit->mCallback,
+      Fail(ErrorCode::OutcomeUnknown,
+           "the platform does not tell the result of operation " +
+             aCommit->mTransaction.mOperation));
+    return;
+  }
+  const Millis delay = mOptions.mLookupDelay * std::exp2(aCommit->mLookups) *
+                       (0.5 + UniformFraction(mRandom));
+  ++aCommit->mLookups;
+  RunAfter(delay, [this, aCommit] {
+    Send(MakeRequest("GET",
+                     "/operations/" +
+                       PercentEncode(aCommit->mTransaction.mOperation)),
+         [this, aCommit](const HttpResult& aResult) {
+           OnLookupResult(aCommit, aResult);
+         });
+  });
+}
+
+void
+PlatformClient::Impl::OnLookupResult(const CommitPointer& aCommit,
+                                     const HttpResult& aResult)
+{
+  const int status = aResult.mResponse.mStatus;
+  if (aResult.mFailure == HttpFailure::None && status == 200) {
+    Expected<CommitAnswer> answer = Decoded([&]() -> CommitAnswer {
+      return DecodeCommitted(aResult.mResponse.mBody);
+    });
+    if (answer) {
+      End(aCommit->mCallback, std::move(answer));
+      return;
+    }
+  }
+  if (aResult.mFailure != HttpFailure::None || status != 404) {
+    AskLater(aCommit);
+  } else if (aCommit->mMayStillRun) {
+    // The first request may arrive after this question. Sent again with the
+    // same operation id, the transaction has one effect and one result.
+    SendCommit(aCommit);
+  } else {
+    End<CommitAnswer>(
+      aCommit->mCallback,
+      Fail(ErrorCode::Unavailable, "the transaction had no effect"));
+  }
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/platform/tests/PlatformClientTest.cpp
@@ -0,0 +1,254 @@
+#include <platform/PlatformClient.h>
+
+#include <optional>
+
+#include <gtest/gtest.h>
+#include <net/HttpServer.h>
+
+namespace papayaway {
+namespace {
+
+constexpr Millis kTestTimeout = Seconds(20);
+
+// A platform on the loop of the test that answers by a replaceable function.
+// A status of 0 means no answer.
+class PlatformClientTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    auto server = HttpServer::Listen(
+      mLoop, {}, [this](const std::shared_ptr<HttpExchange>& aExchange) {
+        mRequests.push_back(aExchange->Request());
+        HttpResponse response = mAnswer(aExchange->Request());
+        if (response.mStatus != 0) {
+          aExchange->Respond(std::move(response));
+        }
+      });
+    ASSERT_TRUE(server.has_value());
+    mServer = std::move(*server);
+    mClient = std::make_unique<PlatformClient>(
+      mLoop,
+      mHttp,
+      PlatformOptions{ .mAddress = mServer->Address(),
+                       .mTimeout = { 100 },
+                       .mMaxLookups = 3,
+                       .mLookupDelay = { 5 } },
+      Random(1));
+  }
+
+  // Runs the loop until the callback that aStart receives has run.
+  template<typename T, typename Start>
+  Expected<T> Await(Start aStart)
+  {
+    std::optional<Expected<T>> outcome;
+    aStart([&](Expected<T> aResult) {
+      outcome = std::move(aResult);
+      mLoop.Stop();
+    });
+    Timer guard(mLoop, [this] { mLoop.Stop(); });
+    guard.StartOnce(kTestTimeout);
+    mLoop.Run();
+    return outcome ? *outcome : Fail(ErrorCode::Internal, "no result");
+  }
+
+  Expected<CommitAnswer> Commit()
+  {
+    const Transaction transaction{ .mOperation = "op 1",
+                                   .mConditions = { { "row", 4 } },
+                                   .mLeases = { { "conductor", 7 } },
+                                   .mWrites = { { "row", 5 } } };
+    return Await<CommitAnswer>(
+      [&](const auto& aCallback) { mClient->Commit(transaction, aCallback); });
+  }
+
+  static bool IsLookup(const HttpRequest& aRequest)
+  {
+    return aRequest.mPath == "/operations/op%201";
+  }
+
+  static HttpResponse ReplyLost()
+  {
+    HttpResponse response = JsonResponse(503, "{}");
+    response.mHeaders.Add("X-Fault", "reply-lost");
+    return response;
+  }
+
+  EventLoop mLoop;
+  HttpClient mHttp{ mLoop, {} };
+  std::function<HttpResponse(const HttpRequest&)> mAnswer;
+  std::vector<HttpRequest> mRequests;
+  std::unique_ptr<HttpServer> mServer;
+  std::unique_ptr<PlatformClient> mClient;
+};
+
+const CommitAnswer kCommitted = Committed{ { { "row", 5 } } };
+const std::string kVersions = R"({"versions":{"row":5}})";
+
+// Guards against a transaction whose parts are lost on the way.
+TEST_F(PlatformClientTest, CommitSendsTheWholeTransaction)
+{
+  mAnswer = [](const HttpRequest&) { return JsonResponse(200, kVersions); };
+  EXPECT_EQ(Commit(), kCommitted);
+  EXPECT_EQ(nlohmann::json::parse(mRequests.at(0).mBody),
+            nlohmann::json::parse(
+              R"({"operation":"op 1","conditions":[{"key":"row","version":4}],
+                  "leases":[{"name":"conductor","token":7}],
+                  "writes":[{"key":"row","value":5}],"deletes":[]})"));
+}
+
+// Guards against a lost reply that is reported as a failed write.
+TEST_F(PlatformClientTest, LostReplyIsResolvedByTheOperation)
+{
+  int lookups = 0;
+  mAnswer = [&](const HttpRequest& aRequest) {
+    if (!IsLookup(aRequest)) {
+      return ReplyLost();
+    }
+    return ++lookups == 1 ? JsonResponse(503, "{}")
+                          : JsonResponse(200, kVersions);
+  };
+  EXPECT_EQ(Commit(), kCommitted);
+  EXPECT_EQ(lookups, 2);
+}
+
+// Guards against a claim that a write may have run when it did not.
+TEST_F(PlatformClientTest, UnknownOperationAfterALostReplyHadNoEffect)
+{
+  mAnswer = [](const HttpRequest& aRequest) {
+    return IsLookup(aRequest) ? JsonResponse(404, "{}") : ReplyLost();
+  };
+  EXPECT_EQ(Commit().error().mCode, ErrorCode::Unavailable);
+}
+
+// Guards against a claim that a write had no effect when its request may
+// still be on the way: a question that finds nothing does not settle that.
+TEST_F(PlatformClientTest, CommitWithoutAnswerIsSentAgainWithItsOperation)
+{
+  int commits = 0;
+  mAnswer = [&](const HttpRequest& aRequest) {
+    if (IsLookup(aRequest)) {
+      return JsonResponse(404, "{}");
+    }
+    return ++commits == 1 ? HttpResponse{ .mStatus = 0 }
+                          : JsonResponse(200, kVersions);
+  };
+  EXPECT_EQ(Commit(), kCommitted);
+  EXPECT_EQ(mRequests.front().mBody, mRequests.back().mBody);
+}
+
+// Guards against questions without an end in a long outage and against a
+// certain answer about an uncertain write.
+TEST_F(PlatformClientTest, SilentPlatformLeavesTheOutcomeUnknown)
+{
+  mAnswer = [](const HttpRequest&) { return HttpResponse{ .mStatus = 0 }; };
+  EXPECT_EQ(Commit().error().mCode, ErrorCode::OutcomeUnknown);
+  EXPECT_EQ(mRequests.size(), 4U);
+  mRequests.clear();
+  // A later refusal says nothing about the request that was not answered.
+  mAnswer = [&](const HttpRequest& aRequest) {
+    return aRequest.mMethod == "POST" && mRequests.size() == 1
+             ? HttpResponse{ .mStatus = 0 }
+             : JsonResponse(503, "{}");
+  };
+  EXPECT_EQ(Commit().error().mCode, ErrorCode::OutcomeUnknown);
+  EXPECT_EQ(mClient->Pending(), 0U);
+}
+
+// Guards against an outage that is reported as an unknown outcome.
+TEST_F(PlatformClientTest, OutageHasNoEffect)
+{
+  mAnswer = [](const HttpRequest&) { return JsonResponse(503, "{}"); };
+  EXPECT_EQ(Commit().error().mCode, ErrorCode::Unavailable);
+  EXPECT_EQ(mRequests.size(), 1U);
+  mServer.reset();
+  EXPECT_EQ(Commit().error().mCode, ErrorCode::Unavailable);
+}
+
+// Guards against a conflict without the rows and leases that lost.
+TEST_F(PlatformClientTest, ConflictNamesRowsAndLeases)
+{
+  mAnswer = [](const HttpRequest&) {
+    return JsonResponse(
+      409, R"({"failed":[{"key":"row","version":9}],"leases":["conductor"]})");
+  };
+  const CommitAnswer expected =
+    CommitConflict{ { { "row", 9 } }, { "conductor" } };
+  EXPECT_EQ(Commit(), expected);
+}
+
+// Guards against a lease that its holder trusts longer than the platform,
+// which counts from the arrival of the request.
+TEST_F(PlatformClientTest, GrantCountsFromBeforeTheRequest)
+{
+  mAnswer = [](const HttpRequest&) {
+    return JsonResponse(200, R"({"token":3,"ttl_ms":6000})");
+  };
+  const Millis before = SteadyNow();
+  const auto grant = Await<LeaseAnswer>([&](const auto& aCallback) {
+    mClient->RenewLease(
+      { .mName = "relay/nbo-1", .mHolder = "node", .mDuration = Seconds(6) },
+      3,
+      aCallback);
+    EXPECT_LE(SteadyNow(), before + kTestTimeout);
+  });
+  const Millis after = SteadyNow();
+  ASSERT_TRUE(grant.has_value());
+  const auto& held = std::get<LeaseGrant>(*grant);
+  EXPECT_EQ(held.mToken, 3U);
+  EXPECT_GE(held.mValidUntil, before + Seconds(6));
+  EXPECT_LT(held.mValidUntil, after + Seconds(6));
+  EXPECT_EQ(mRequests.at(0).mPath, "/leases/relay/nbo-1");
+  mAnswer = [](const HttpRequest&) {
+    return JsonResponse(409, R"({"holder":"b","value":"v","remaining_ms":40})");
+  };
+  const LeaseAnswer other = LeaseState{ "b", "v", 0, { 40 } };
+  EXPECT_EQ(Await<LeaseAnswer>([&](const auto& aCallback) {
+              mClient->AcquireLease({ .mName = "l" }, aCallback);
+            }),
+            other);
+}
+
+// Guards against keys that are mangled in paths and queries, and a malformed
+// answer that ends the process.
+TEST_F(PlatformClientTest, ReadsEncodeKeysAndReportMalformedAnswers)
+{
+  mAnswer = [](const HttpRequest& aRequest) {
+    return aRequest.QueryValue("prefix") == "a+b/&"
+             ? JsonResponse(
+                 200, R"({"rows":[{"key":"a+b/&c","version":2,"value":"x"}]})")
+             : JsonResponse(200, R"({"version":"two"})");
+  };
+  const std::vector<TableRow> rows{ { "a+b/&c", 2, "x" } };
+  EXPECT_EQ(Await<std::vector<TableRow>>([&](const auto& aCallback) {
+              mClient->ScanRows("a+b/&", aCallback);
+            }),
+            rows);
+  const auto row = Await<TableRow>(
+    [&](const auto& aCallback) { mClient->ReadRow("a b", aCallback); });
+  EXPECT_EQ(row.error().mCode, ErrorCode::Internal);
+  EXPECT_EQ(mRequests.back().mPath, "/table/a%20b");
+}
+
+// Guards against calls that pile up without a bound while the platform is
+// slow, and against a callback after its client is gone.
+TEST_F(PlatformClientTest, RefusesCallsAboveTheLimit)
+{
+  mAnswer = [](const HttpRequest&) { return HttpResponse{ .mStatus = 0 }; };
+  mClient = std::make_unique<PlatformClient>(
+    mLoop,
+    mHttp,
+    PlatformOptions{ .mAddress = mServer->Address(), .mMaxPending = 1 },
+    Random(1));
+  mClient->ReadRow("a", [](const auto&) { ADD_FAILURE(); });
+  const auto refused = Await<std::string>([&](const auto& aCallback) {
+    mClient->GetObject("b", [this, aCallback](Expected<std::string> aResult) {
+      mClient.reset();
+      aCallback(std::move(aResult));
+    });
+  });
+  EXPECT_EQ(refused.error().mCode, ErrorCode::Refused);
+}
+
+} // namespace
+} // namespace papayaway
