Watch neighbours and elect relays in the daemon

Cause: the demo's check that nodes stop routing to killed nodes failed, since nothing detected them.

Before: killed nodes were never noticed.

--- a/libs/node/src/MemberAgent.cpp
+++ b/libs/node/src/MemberAgent.cpp
@@ -6,10 +6,27 @@
 
 namespace {
 
+constexpr Millis kTickPeriod{ 200 };
 constexpr Millis kCandidatePeriod{ 300 };
 /** Addresses tried at a time while this node has no link. */
 constexpr int kCandidatesAtOnce = 3;
 
+const char*
+Describe(MemberState aState)
+{
+  switch (aState) {
+    case MemberState::Alive:
+      return " is alive";
+    case MemberState::Suspect:
+      return " is suspect";
+    case MemberState::Left:
+      return " has left";
+    case MemberState::Dead:
+      return " is dead";
+  }
+  return " is dead";
+}
+
 } // namespace
 
 MemberAgent::MemberAgent(NodeContext& aContext,
@@ -18,6 +35,7 @@
   : mContext(aContext)
   , mLinks(aLinks)
   , mSpreader(aSpreader)
+  , mTickTimer(aContext.mLoop, [this] { Tick(); })
   , mCandidateTimer(aContext.mLoop, [this] { TryCandidates(); })
 {
 }
@@ -26,25 +44,48 @@
 MemberAgent::Start(const std::string& aAdminAddress)
 {
   const NodeSettings& settings = mContext.mSettings;
-  mOwn = { .mNode = settings.mName,
-           .mDataCentre = settings.mDataCentre,
-           .mRegion = settings.mRegion,
-           .mPeerAddress = mLinks.Address(),
-           .mAdminAddress = aAdminAddress,
-           .mIncarnation = mContext.mIncarnation };
-  mSpreader.Publish(mOwn);
+  mMembership.emplace(MemberFact{ .mNode = settings.mName,
+                                  .mDataCentre = settings.mDataCentre,
+                                  .mRegion = settings.mRegion,
+                                  .mPeerAddress = mLinks.Address(),
+                                  .mAdminAddress = aAdminAddress,
+                                  .mIncarnation = mContext.mIncarnation });
+  Perform(mMembership->Start());
   mCandidates = settings.mSeeds;
+  mTickTimer.StartRepeating(kTickPeriod);
   TryCandidates();
 }
 
 void
-MemberAgent::SetCandidates(std::vector<std::string> aAddresses)
+MemberAgent::Perform(const MembershipActions& aActions)
+{
+  for (const MembershipAction& action : aActions) {
+    if (const auto* const heartbeat = std::get_if<SendHeartbeat>(&action)) {
+      mLinks.SendToMesh(heartbeat->mPeer, Heartbeat{ heartbeat->mCount });
+    } else if (const auto* const publish =
+                 std::get_if<PublishMember>(&action)) {
+      mSpreader.Publish(publish->mFact);
+    } else if (const auto* const drop = std::get_if<DropLink>(&action)) {
+      mContext.Record({ .mPart = "mesh",
+                        .mKind = EventKind::LinkLost,
+                        .mText = "link to " + drop->mPeer + " is silent" });
+      mLinks.CloseNode(drop->mPeer, "the peer is silent");
+    }
+  }
+}
+
+void
+MemberAgent::Tick()
+{
+  Perform(mMembership->Tick(SteadyNow(), mSpreader.Store()));
+}
+
+void
+MemberAgent::SetCandidates(const std::vector<std::string>& aAddresses)
 {
   mCandidates = mContext.mSettings.mSeeds;
   mCandidates.insert(mCandidates.end(), aAddresses.begin(), aAddresses.end());
-  if (mLinks.MeshLinks().empty()) {
-    TryCandidates();
-  }
+  TryCandidates();
 }
 
 void
@@ -63,52 +104,73 @@
 MemberAgent::SetRelay(bool aIsRelay)
 {
   mIsRelay = aIsRelay;
-  UpdateLinks();
+  ScheduleUpdate();
 }
 
 void
-MemberAgent::OnLinkOpened(const LinkInfo&)
+MemberAgent::OnLinkOpened(const LinkInfo& aLink)
 {
+  if (!aLink.mCallsOnly) {
+    mMembership->LinkUp(SteadyNow(), aLink.mNode);
+  }
 }
 
 void
-MemberAgent::OnLinkLost(const LinkInfo&)
+MemberAgent::OnLinkLost(const LinkInfo& aLink)
 {
+  if (!aLink.mCallsOnly && !mLinks.HasMeshLink(aLink.mNode)) {
+    mMembership->LinkDown(aLink.mNode);
+  }
 }
 
 void
-MemberAgent::OnHeartbeat(const LinkInfo&, const Heartbeat&)
+MemberAgent::OnHeard(const LinkInfo& aLink)
 {
+  if (!aLink.mCallsOnly) {
+    mMembership->Heard(SteadyNow(), aLink.mNode);
+  }
 }
 
 void
 MemberAgent::OnFact(const Fact& aFact)
 {
-  const bool ofLinks = std::holds_alternative<MemberFact>(aFact) ||
-                       std::holds_alternative<RelayFact>(aFact);
-  if (!ofLinks || mLeaving) {
+  if (!mMembership || mLeaving) {
     return;
   }
-  RefuteIfNeeded();
-  if (!mUpdateScheduled) {
-    mUpdateScheduled = true;
-    mContext.mLoop.Defer([this] {
-      mUpdateScheduled = false;
-      UpdateLinks();
-    });
+  Perform(mMembership->Merged(SteadyNow(), aFact, mContext.mRandom));
+  if (const auto* const member = std::get_if<MemberFact>(&aFact)) {
+    RecordChange(*member);
+    ScheduleUpdate();
+  } else if (std::holds_alternative<RelayFact>(aFact)) {
+    ScheduleUpdate();
   }
 }
 
 void
-MemberAgent::RefuteIfNeeded()
+MemberAgent::RecordChange(const MemberFact& aMember)
 {
-  const MemberFact* const known =
-    mSpreader.Store().Member(mContext.mSettings.mName);
-  if (known == nullptr || *known == mOwn) {
+  const auto [known, isNew] =
+    mKnownStates.try_emplace(aMember.mNode, aMember.mState);
+  if (!isNew && known->second == aMember.mState) {
     return;
   }
-  mOwn.mIncarnation = std::max(mOwn.mIncarnation, known->mIncarnation) + 1;
-  mSpreader.Publish(mOwn);
+  known->second = aMember.mState;
+  mContext.Record({ .mPart = "mesh",
+                    .mKind = EventKind::MemberChanged,
+                    .mText = aMember.mNode + Describe(aMember.mState) });
+}
+
+void
+MemberAgent::ScheduleUpdate()
+{
+  // Facts come in batches; the links are chosen once for all of them.
+  if (!mUpdateScheduled) {
+    mUpdateScheduled = true;
+    mContext.mLoop.Defer([this] {
+      mUpdateScheduled = false;
+      UpdateLinks();
+    });
+  }
 }
 
 void
@@ -118,16 +180,22 @@
     return;
   }
   const FactStore& facts = mSpreader.Store();
+  const MemberFact& own = mMembership->Self();
   std::map<std::string, std::string> wanted;
   for (const std::string& node :
-       RingPeers(mOwn.mNode, LiveMembers(facts, mOwn.mDataCentre))) {
+       RingPeers(own.mNode, LiveMembers(facts, own.mDataCentre))) {
     wanted[node] = facts.Member(node)->mPeerAddress;
   }
   if (mIsRelay) {
-    for (const RelayFact& relay : RelayPeers(facts, mOwn)) {
+    for (const RelayFact& relay : RelayPeers(facts, own)) {
       wanted[relay.mNode] = relay.mPeerAddress;
     }
   }
+  std::vector<std::string> chosen;
+  for (const auto& [node, address] : wanted) {
+    chosen.push_back(node);
+  }
+  mMembership->SetChosen(SteadyNow(), chosen);
   mLinks.SetWanted(std::move(wanted));
 }
 
@@ -135,9 +203,9 @@
 MemberAgent::Leave()
 {
   mLeaving = true;
+  mTickTimer.Stop();
   mCandidateTimer.Stop();
-  mOwn.mState = MemberState::Left;
-  mSpreader.Publish(mOwn);
+  Perform(mMembership->Leave());
   mLinks.SetWanted({});
 }
 
--- a/libs/node/src/MemberAgent.h
+++ b/libs/node/src/MemberAgent.h
@@ -1,55 +1,59 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <mesh/Membership.h>
+
 #include "FactSpreader.h"
 #include "NodeContext.h"
 #include "PeerLinks.h"
 
 namespace papayaway {
 
-/** Announces this node, follows the other members and chooses the links. */
+/** Announces this node, watches its neighbours and chooses the links. */
 class MemberAgent
 {
 public:
-  MemberAgent(NodeContext& aContext,
-              PeerLinks& aLinks,
-              FactSpreader& aSpreader);
+  MemberAgent(NodeContext& aContext, PeerLinks& aLinks, FactSpreader& aSpreader);
 
   void Start(const std::string& aAdminAddress);
 
   /** Sets addresses that are tried while this node has no link. */
-  void SetCandidates(std::vector<std::string> aAddresses);
+  void SetCandidates(const std::vector<std::string>& aAddresses);
 
   /** Sets whether this node links to relays of other data centres. */
   void SetRelay(bool aIsRelay);
 
   void OnLinkOpened(const LinkInfo& aLink);
   void OnLinkLost(const LinkInfo& aLink);
-  void OnHeartbeat(const LinkInfo& aLink, const Heartbeat& aHeartbeat);
+  /** Any message on a mesh link shows that the peer lives. */
+  void OnHeard(const LinkInfo& aLink);
   void OnFact(const Fact& aFact);
 
   /** Announces that this node leaves on purpose. */
   void Leave();
 
-  /** @return the fact that this node last announced of itself. */
-  [[nodiscard]] const MemberFact& Own() const { return mOwn; }
-
 private:
+  void Perform(const MembershipActions& aActions);
+  void Tick();
+  void ScheduleUpdate();
   void UpdateLinks();
   void TryCandidates();
-  void RefuteIfNeeded();
+  void RecordChange(const MemberFact& aMember);
 
   NodeContext& mContext;
   PeerLinks& mLinks;
   FactSpreader& mSpreader;
-  MemberFact mOwn;
+  std::optional<Membership> mMembership;
   std::vector<std::string> mCandidates;
+  std::map<std::string, MemberState> mKnownStates;
   bool mIsRelay = false;
   bool mLeaving = false;
   bool mUpdateScheduled = false;
+  Timer mTickTimer;
   Timer mCandidateTimer;
 };
 
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -253,10 +253,9 @@
       mSpreader.OnDocumentWhole(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, DocumentRequest>) {
       mSpreader.OnDocumentRequest(aLink, aAlternative);
-    } else if constexpr (std::is_same_v<T, Heartbeat>) {
-      mMembers.OnHeartbeat(aLink, aAlternative);
     }
   };
+  mMembers.OnHeard(aLink);
   std::visit(handle, aMessage);
 }
 
@@ -286,6 +285,7 @@
 Node::Impl::OnFact(const Fact& aFact)
 {
   if (std::holds_alternative<EndpointFact>(aFact) ||
+      std::holds_alternative<MemberFact>(aFact) ||
       std::holds_alternative<MoveFact>(aFact)) {
     ScheduleSnapshot();
   }
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -366,6 +366,18 @@
   return link.mInfo.mId;
 }
 
+void
+PeerLinks::SendToMesh(const std::string& aNode, const Message& aMessage)
+{
+  for (const auto& [id, link] : mLinks) {
+    if (link->mReady && !link->mInfo.mCallsOnly &&
+        link->mInfo.mNode == aNode) {
+      SendOn(*link, aMessage, Encode(aMessage));
+      return;
+    }
+  }
+}
+
 void
 PeerLinks::Flood(const Message& aMessage, const std::string& aExceptNode)
 {
--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -74,6 +74,12 @@
   /** Sends on all mesh links, once per node, but not to aExceptNode. */
   void Flood(const Message& aMessage, const std::string& aExceptNode);
 
+  /** Sends on a mesh link to aNode, if there is one. */
+  void SendToMesh(const std::string& aNode, const Message& aMessage);
+
+  /** @return whether a mesh link to aNode is open or being opened. */
+  [[nodiscard]] bool HasMeshLink(const std::string& aNode) const;
+
   /** Ends a connection, for example because it is silent. */
   void Close(LinkId aLink, const std::string& aReason);
 
@@ -110,7 +116,6 @@
                   const Message& aMessage,
                   std::size_t aSize);
   [[nodiscard]] Link* FindOpen(const std::string& aNode) const;
-  [[nodiscard]] bool HasMeshLink(const std::string& aNode) const;
   [[nodiscard]] Hello OwnHello(bool aCallsOnly) const;
 
   struct WantedPeer
--- a/libs/node/src/PlatformAgent.cpp
+++ b/libs/node/src/PlatformAgent.cpp
@@ -1,13 +1,8 @@
 #include "PlatformAgent.h"
 
-#include <algorithm>
-#include <set>
-
 #include <glog/logging.h>
 
-#include <base/Hash.h>
 #include <config/DocumentParser.h>
-#include <mesh/Overlay.h>
 
 #include "AdminApi.h"
 
@@ -75,6 +70,7 @@
             mHttp,
             { .mAddress = aContext.mSettings.mPlatformAddress },
             Random(aContext.mRandom()))
+  , mRelay(aContext, aLinks, aSpreader, aMembers, mClient)
   , mPollTimer(aContext.mLoop, [this] { Poll(); })
   , mDirectoryTimer(aContext.mLoop, [this] { ScanDirectory(); })
 {
@@ -87,12 +83,14 @@
   Register();
   ScanDirectory();
   Poll();
+  mRelay.Start();
 }
 
 void
 PlatformAgent::Stop()
 {
   mStopped = true;
+  mRelay.Stop();
   mPollTimer.Stop();
   mDirectoryTimer.Stop();
   mClient.Commit({ .mOperation = RandomId(mContext.mRandom),
@@ -129,21 +127,6 @@
     });
 }
 
-bool
-PlatformAgent::IsFirstInRank() const
-{
-  const std::string& dataCentre = mContext.mSettings.mDataCentre;
-  const auto rank = [&](const std::string& aNode) {
-    return Hash64(dataCentre + "/" + aNode);
-  };
-  const std::uint64_t own = rank(mContext.mSettings.mName);
-  const auto members = LiveMembers(mSpreader.Store(), dataCentre);
-  return std::none_of(
-    members.begin(), members.end(), [&](const std::string& aNode) {
-      return rank(aNode) < own;
-    });
-}
-
 void
 PlatformAgent::ScanDirectory()
 {
@@ -151,45 +134,24 @@
   if (!mRegistered) {
     Register();
   }
-  const bool isRelay = IsFirstInRank();
-  if (isRelay != mIsRelay) {
-    mIsRelay = isRelay;
-    if (isRelay) {
-      mSpreader.Publish(
-        RelayFact{ .mDataCentre = mContext.mSettings.mDataCentre,
-                   .mNode = mContext.mSettings.mName,
-                   .mPeerAddress = mLinks.Address(),
-                   .mToken = mContext.mIncarnation });
-    }
-    mMembers.SetRelay(isRelay);
-  }
-  if (!mLinks.MeshLinks().empty() && !mIsRelay) {
+  if (!mLinks.MeshLinks().empty()) {
     return;
   }
-  const std::string prefix =
-    mIsRelay ? "nodes/" : "nodes/" + mContext.mSettings.mDataCentre + "/";
   mClient.ScanRows(
-    prefix, [this](const Expected<std::vector<TableRow>>& aRows) {
+    "nodes/" + mContext.mSettings.mDataCentre + "/",
+    [this](const Expected<std::vector<TableRow>>& aRows) {
       OnPlatformAnswer(aRows.has_value());
       if (!aRows || mStopped) {
         return;
       }
       std::vector<std::string> addresses;
-      std::set<std::string> probed;
       for (const TableRow& row : *aRows) {
         const std::string address = TextField(row.mValue, "peer");
-        if (address.empty() || address == mLinks.Address()) {
-          continue;
-        }
-        addresses.push_back(address);
-        const std::string node = row.mKey.substr(row.mKey.rfind('/') + 1);
-        const std::string dataCentre = row.mKey.substr(0, row.mKey.rfind('/'));
-        if (mIsRelay && mSpreader.Store().Member(node) == nullptr &&
-            probed.insert(dataCentre).second) {
-          mLinks.Probe(address);
+        if (!address.empty() && address != mLinks.Address()) {
+          addresses.push_back(address);
         }
       }
-      mMembers.SetCandidates(std::move(addresses));
+      mMembers.SetCandidates(addresses);
     });
 }
 
@@ -197,7 +159,7 @@
 PlatformAgent::Poll()
 {
   mPollTimer.StartOnce(mContext.Jittered(kPollPeriod));
-  if (!mIsRelay && mSpreader.Log().Version() != 0) {
+  if (!mRelay.IsRelay() && mSpreader.Log().Version() != 0) {
     return;
   }
   mClient.ReadRow(DocumentKey(mContext.mSettings.mEnvironment),
--- a/libs/node/src/PlatformAgent.h
+++ b/libs/node/src/PlatformAgent.h
@@ -11,11 +11,12 @@
 #include "MemberAgent.h"
 #include "NodeContext.h"
 #include "PeerLinks.h"
+#include "RelayAgent.h"
 
 namespace papayaway {
 
-/** All dealings with the platform's table but for leases: the directory of
- *  nodes, promotions and the watch for new versions. */
+/** The dealings with the platform: the directory of nodes, promotions, the
+ *  watch for new versions and the relay's lease. */
 class PlatformAgent
 {
 public:
@@ -42,7 +43,6 @@
               const nlohmann::json& aDocument,
               const std::string& aOperation,
               const std::shared_ptr<HttpExchange>& aExchange);
-  [[nodiscard]] bool IsFirstInRank() const;
 
   NodeContext& mContext;
   PeerLinks& mLinks;
@@ -50,10 +50,10 @@
   MemberAgent& mMembers;
   HttpClient mHttp;
   PlatformClient mClient;
+  RelayAgent mRelay;
   std::string mAdminAddress;
   bool mRegistered = false;
   bool mAnswers = true;
-  bool mIsRelay = false;
   bool mStopped = false;
   Timer mPollTimer;
   Timer mDirectoryTimer;
