--- a/libs/rollout/include/rollout/EvidenceJudge.h
+++ b/libs/rollout/include/rollout/EvidenceJudge.h
@@ -28,7 +28,8 @@
 {
   /** Good calls of a stage that are enough on one route. */
   std::uint64_t mCallsPerRoute = 20;
-  /** The same in each data centre that has traffic on the route. */
+  /** The same in each data centre that has traffic on the route, or fewer if
+   *  there are many data centres. */
   std::uint64_t mCallsPerDataCentre = 5;
   /** The sum of log likelihood ratios that proves a fault. By Wald's bound
    *  a good version passes it once in about e^15.5 = 5 million calls. At a
--- a/libs/rollout/include/rollout/EvidenceWindow.h
+++ b/libs/rollout/include/rollout/EvidenceWindow.h
@@ -61,13 +61,14 @@
            const std::string& aDataCentre,
            Millis aNow);
 
-  /** @return the spans from old to new; empty if nothing is known.
+  /** @return the spans from old to new; empty if nothing is known. Valid
+   *    until the next Add().
    *  @param aRoute a route or "" for all.
    *  @param aDataCentre a data centre or "" for all. */
-  [[nodiscard]] Cell Find(const std::string& aService,
-                          const std::string& aVersion,
-                          const std::string& aRoute,
-                          const std::string& aDataCentre) const;
+  [[nodiscard]] const Cell& Find(const std::string& aService,
+                                 const std::string& aVersion,
+                                 const std::string& aRoute,
+                                 const std::string& aDataCentre) const;
 
   /** @return the data centres that reported on any of aVersions, sorted. */
   [[nodiscard]] std::vector<std::string> DataCentres(
--- a/libs/rollout/src/EvidenceJudge.cpp
+++ b/libs/rollout/src/EvidenceJudge.cpp
@@ -66,7 +66,7 @@
 {
   Cell merged;
   for (const std::string& version : aRequest.mOld) {
-    const Cell cell =
+    const Cell& cell =
       aWindow.Find(aRequest.mService, version, aRoute, aDataCentre);
     merged.insert(merged.end(), cell.begin(), cell.end());
   }
@@ -85,13 +85,21 @@
 std::string
 EvidenceJudge::FindFailures(const Cell& aNew, const Cell& aOld) const
 {
+  if (std::none_of(aNew.begin(), aNew.end(), [](const auto& aBucket) {
+        return aBucket.mFailures > 0;
+      })) {
+    return "";
+  }
   const EvidenceBucket whole = Sum(aOld, Millis{}, Never());
   double most = 0;
   double some = 0;
   EvidenceBucket seen{ .mFrom = Never() };
   for (const EvidenceBucket& bucket : aNew) {
+    // Calls without a failure lower the sums at any expected rate.
     const EvidenceBucket around =
-      Sum(aOld, bucket.mFrom - kReportSkew, bucket.mTo + kReportSkew);
+      bucket.mFailures == 0
+        ? EvidenceBucket{}
+        : Sum(aOld, bucket.mFrom - kReportSkew, bucket.mTo + kReportSkew);
     const double normal =
       std::max({ kLowestRate,
                  ExpectedRate(whole, kPriorFailures, kPriorCalls),
@@ -189,6 +197,12 @@
   std::vector<std::string> routes = aRequest.mRoutes;
   routes.insert(routes.begin(), "");
 
+  // A stage's budget on a non-idempotent route is shared by the data centres.
+  const std::uint64_t perDataCentre = std::clamp<std::uint64_t>(
+    mOptions.mCallsPerRoute / std::max<std::size_t>(1, dataCentres.size() - 1),
+    1,
+    mOptions.mCallsPerDataCentre);
+
   std::string missing;
   for (const std::string& route : routes) {
     for (const std::string& dataCentre : dataCentres) {
@@ -208,9 +222,8 @@
       if (!fault.empty()) {
         return { Judgement::Bad, Place(route, dataCentre) + ": " + fault };
       }
-      const std::uint64_t needed = dataCentre.empty()
-                                     ? mOptions.mCallsPerRoute
-                                     : mOptions.mCallsPerDataCentre;
+      const std::uint64_t needed =
+        dataCentre.empty() ? mOptions.mCallsPerRoute : perDataCentre;
       const bool used = !local.empty() || !found.empty();
       const std::uint64_t calls = CallsSince(found, aRequest.mStageSince);
       if (missing.empty() && !route.empty() && used && calls < needed) {
@@ -222,7 +235,7 @@
   if (!missing.empty()) {
     return { Judgement::NotEnough, missing };
   }
-  const Cell any = aWindow.Find(aRequest.mService, aRequest.mNew, "", "");
+  const Cell& any = aWindow.Find(aRequest.mService, aRequest.mNew, "", "");
   if (CallsSince(any, aRequest.mStageSince) < mOptions.mCallsPerRoute) {
     return { Judgement::NotEnough, "too few calls of the new version" };
   }
--- a/libs/rollout/src/EvidenceWindow.cpp
+++ b/libs/rollout/src/EvidenceWindow.cpp
@@ -108,14 +108,15 @@
   });
 }
 
-EvidenceWindow::Cell
+const EvidenceWindow::Cell&
 EvidenceWindow::Find(const std::string& aService,
                      const std::string& aVersion,
                      const std::string& aRoute,
                      const std::string& aDataCentre) const
 {
   const auto it = mCells.find({ aService, aVersion, aRoute, aDataCentre });
-  return it == mCells.end() ? Cell{} : it->second;
+  static const Cell kNone;
+  return it == mCells.end() ? kNone : it->second;
 }
 
 std::vector<std::string>
--- /dev/null
+++ b/libs/rollout/src/ExposureBudget.cpp
@@ -0,0 +1,96 @@
+#include <rollout/ExposureBudget.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include <base/Hash.h>
+
+namespace papayaway {
+namespace {
+
+/** Routes of one service; further ones are refused. */
+constexpr std::size_t kMaxRoutes = 1024;
+
+/** @return this node's part of aTotal. The nodes are ordered by hash so that
+ *    a budget smaller than their number covers every data centre. */
+int
+Part(int aTotal,
+     const std::string& aSelf,
+     const std::vector<std::string>& aNodes)
+{
+  const auto order = [](const std::string& aNode) {
+    return std::pair(Hash64(aNode), aNode);
+  };
+  const auto rank =
+    std::count_if(aNodes.begin(), aNodes.end(), [&](const std::string& aNode) {
+      return order(aNode) < order(aSelf);
+    });
+  const auto nodes =
+    std::max<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(aNodes.size()));
+  return static_cast<int>(aTotal / nodes + (rank < aTotal % nodes ? 1 : 0));
+}
+
+} // namespace
+
+void
+ExposureBudget::Update(const MoveFact& aFact,
+                       const std::string& aSelf,
+                       const std::vector<std::string>& aNodes)
+{
+  const auto old = std::tie(mAttempt, mStage);
+  const auto now = std::tie(aFact.mAttempt, aFact.mStage);
+  if (now < old) {
+    return;
+  }
+  const int part =
+    aFact.mStage == 0
+      ? 0
+      : Part(
+          kStageBudgets[std::min(aFact.mStage, kLastStage) - 1], aSelf, aNodes);
+  if (now > old) {
+    mQuota = part;
+    mUsed.clear();
+  } else {
+    // The part grows only with the next stage: a node that left has already
+    // used its part.
+    mQuota = std::min(mQuota, part);
+  }
+  mAttempt = aFact.mAttempt;
+  mStage = aFact.mStage;
+  mState = aFact.mState;
+}
+
+bool
+ExposureBudget::Admit(const std::string& aRoute)
+{
+  if (mState != MoveState::Running) {
+    return mState == MoveState::Finished;
+  }
+  const auto it = mUsed.find(aRoute);
+  const int used = it == mUsed.end() ? 0 : it->second;
+  if (used >= mQuota || (it == mUsed.end() && mUsed.size() >= kMaxRoutes)) {
+    return false;
+  }
+  mUsed[aRoute] = used + 1;
+  return true;
+}
+
+void
+ExposureBudget::Release(const std::string& aRoute)
+{
+  if (const auto it = mUsed.find(aRoute); it != mUsed.end() && it->second > 0) {
+    --it->second;
+  }
+}
+
+int
+ExposureBudget::Left(const std::string& aRoute) const
+{
+  if (mState != MoveState::Running) {
+    return mState == MoveState::Finished ? -1 : 0;
+  }
+  const auto it = mUsed.find(aRoute);
+  return mQuota - (it == mUsed.end() ? 0 : it->second);
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/rollout/tests/MoveReportTest.cpp
@@ -0,0 +1,110 @@
+#include <rollout/ExposureBudget.h>
+#include <rollout/MoveReport.h>
+#include <rollout/TakeBack.h>
+
+#include <gtest/gtest.h>
+
+namespace papayaway {
+namespace {
+
+MoveReportInput
+RunningMove()
+{
+  return { .mService = "s",
+           .mMove = { .mTo = "v2" },
+           .mFact = MoveFact{ .mService = "s",
+                              .mTo = "v2",
+                              .mStage = 2,
+                              .mShare = 50,
+                              .mStarted = Seconds(1000) },
+           .mConductor = "n1" };
+}
+
+// Guards against claiming progress that can't be observed.
+TEST(MoveReport, UnknownNamesWhatIsMissing)
+{
+  MoveReportInput input = RunningMove();
+  EXPECT_EQ(MakeMoveReport(input, Seconds(1001)).mProgress,
+            MoveProgress::InProgress);
+  input.mUnreachable = { "nbo-2" };
+  input.mConductor = "";
+  const MoveReport report = MakeMoveReport(input, Seconds(1601));
+  EXPECT_EQ(report.mProgress, MoveProgress::Unknown);
+  EXPECT_EQ(report.mUnobserved.size(), 3U);
+}
+
+// Guards against hiding a take-back behind missing observations.
+TEST(MoveReport, TakenBackIsFinal)
+{
+  MoveReportInput input = RunningMove();
+  input.mFact->mState = MoveState::TakenBack;
+  input.mFact->mReason = "route /a: 3 of 3 calls failed";
+  input.mConductor = "";
+  const MoveReport report = MakeMoveReport(input, Seconds(5000));
+  EXPECT_EQ(report.mProgress, MoveProgress::TakenBack);
+  EXPECT_EQ(report.mReason, "route /a: 3 of 3 calls failed");
+}
+
+// Guards against serving nodes that together exceed the budget of a stage,
+// and against a restart of the budget when the set of nodes changes.
+TEST(ExposureBudget, NodesShareTheStageBudget)
+{
+  const std::vector<std::string> nodes{ "a", "b", "c", "d" };
+  MoveFact fact{ .mService = "s", .mTo = "v2", .mStage = 1 };
+  int admitted = 0;
+  for (const std::string& node : nodes) {
+    ExposureBudget budget;
+    budget.Update(fact, node, nodes);
+    while (budget.Admit("/bids")) {
+      ++admitted;
+    }
+    budget.Update(fact, node, { node });
+    EXPECT_FALSE(budget.Admit("/bids"));
+  }
+  EXPECT_EQ(admitted, ExposureBudget::kStageBudgets[0]);
+}
+
+// Guards against bids that run on a version before its move is known or
+// after it was taken back.
+TEST(ExposureBudget, AdmitsNothingBeforeOrAfterTheMove)
+{
+  ExposureBudget budget;
+  EXPECT_FALSE(budget.Admit("/bids"));
+  MoveFact fact{ .mStage = 3, .mShare = 200 };
+  budget.Update(fact, "a", { "a" });
+  EXPECT_TRUE(budget.Admit("/bids"));
+  fact.mState = MoveState::TakenBack;
+  budget.Update(fact, "a", { "a" });
+  EXPECT_FALSE(budget.Admit("/bids"));
+}
+
+// Guards against a take-back that waits for the lease or the platform, and
+// against one long after the old version is gone.
+TEST(TakeBack, NeedsNoLeaseAndEndsAfterTheFinish)
+{
+  EvidenceWindow window;
+  TakeBack takeBack;
+  MoveInput input{ .mService = "s",
+                   .mMove = { .mTo = "v2" },
+                   .mOld = { "v1" },
+                   .mRoutes = { "/a" },
+                   .mCurrent = RunningMove().mFact };
+  EXPECT_FALSE(takeBack.Decide(input, "n", window, Seconds(10)));
+  window.Add({ .mService = "s",
+               .mVersion = "v2",
+               .mRoute = "/a",
+               .mCalls = 4,
+               .mFailures = 4 },
+             "dc",
+             Seconds(11));
+  const auto fact = takeBack.Decide(input, "n", window, Seconds(11));
+  ASSERT_TRUE(fact);
+  EXPECT_EQ(fact->mState, MoveState::TakenBack);
+  EXPECT_EQ(fact->mShare, 0);
+  input.mCurrent->mState = MoveState::Finished;
+  EXPECT_TRUE(takeBack.Decide(input, "n", window, Seconds(12)));
+  EXPECT_FALSE(takeBack.Decide(input, "n", window, Seconds(73)));
+}
+
+} // namespace
+} // namespace papayaway
