Conduct version moves in the daemon

Cause: documents name moves, and nothing raised a share or took one back.

Change: MoveAgent gathers evidence from the local target, sends it to the conductor, takes a bad version back without a lease, and conducts moves under the lease. ConductorFact tells every node where evidence goes. Ruled out: a flood of evidence, because its sums would be counted twice.

Before: no move.

--- /dev/null
+++ b/libs/node/src/ConductorLease.cpp
@@ -0,0 +1,92 @@
+#include "ConductorLease.h"
+
+namespace papayaway {
+
+namespace {
+
+const std::string kLeaseName = "conductor";
+constexpr Millis kDuration = Seconds(6);
+constexpr Millis kRenewPeriod = Seconds(2);
+/** The holder stops this long before the end, for clocks of different rate. */
+constexpr Millis kMargin{ 500 };
+
+} // namespace
+
+ConductorLease::ConductorLease(NodeContext& aContext,
+                               PlatformClient& aClient,
+                               std::string aAddress,
+                               std::function<void()> aOnGranted)
+  : mContext(aContext)
+  , mClient(aClient)
+  , mAddress(std::move(aAddress))
+  , mOnGranted(std::move(aOnGranted))
+{
+}
+
+bool
+ConductorLease::IsHeld() const
+{
+  return mGrant && SteadyNow() + kMargin < mGrant->mValidUntil;
+}
+
+std::uint64_t
+ConductorLease::Token() const
+{
+  return IsHeld() ? mGrant->mToken : 0;
+}
+
+void
+ConductorLease::Tick(bool aCompete)
+{
+  const Millis now = SteadyNow();
+  if (!aCompete || mWaiting || now < mNextRequest) {
+    return;
+  }
+  mWaiting = true;
+  mNextRequest = now + mContext.Jittered(kRenewPeriod);
+  const LeaseClaim claim{ .mName = kLeaseName,
+                          .mHolder = mContext.mSettings.mName,
+                          .mValue = mAddress,
+                          .mDuration = kDuration };
+  const auto onAnswer = [this](const Expected<LeaseAnswer>& aAnswer) {
+    OnAnswer(aAnswer);
+  };
+  if (IsHeld()) {
+    mClient.RenewLease(claim, mGrant->mToken, onAnswer);
+  } else {
+    mClient.AcquireLease(claim, onAnswer);
+  }
+}
+
+void
+ConductorLease::OnAnswer(const Expected<LeaseAnswer>& aAnswer)
+{
+  mWaiting = false;
+  if (!aAnswer) {
+    return;
+  }
+  const auto* const grant = std::get_if<LeaseGrant>(&*aAnswer);
+  if (grant == nullptr) {
+    mGrant.reset();
+    return;
+  }
+  const bool isNew = !mGrant || mGrant->mToken != grant->mToken;
+  mGrant = *grant;
+  if (isNew) {
+    mOnGranted();
+  }
+}
+
+void
+ConductorLease::Release()
+{
+  if (mGrant) {
+    mClient.ReleaseLease(kLeaseName,
+                         mContext.mSettings.mName,
+                         mGrant->mToken,
+                         [](const auto&) {});
+    mGrant.reset();
+  }
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/ConductorLease.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include <platform/PlatformClient.h>
+
+#include "NodeContext.h"
+
+namespace papayaway {
+
+/** Competes for the lease `conductor` while it is asked to. */
+class ConductorLease
+{
+public:
+  /** @param aOnGranted runs when this node becomes the holder. */
+  ConductorLease(NodeContext& aContext,
+                 PlatformClient& aClient,
+                 std::string aAddress,
+                 std::function<void()> aOnGranted);
+
+  /** Call it about twice a second.
+   *  @param aCompete whether this node wants the lease. */
+  void Tick(bool aCompete);
+
+  /** Gives the lease back. */
+  void Release();
+
+  /** @return whether the lease is valid by the own clock, with a margin. */
+  [[nodiscard]] bool IsHeld() const;
+
+  /** @return the token of the held lease, or 0. */
+  [[nodiscard]] std::uint64_t Token() const;
+
+private:
+  void OnAnswer(const Expected<LeaseAnswer>& aAnswer);
+
+  NodeContext& mContext;
+  PlatformClient& mClient;
+  std::string mAddress;
+  std::function<void()> mOnGranted;
+  std::optional<LeaseGrant> mGrant;
+  bool mWaiting = false;
+  Millis mNextRequest;
+};
+
+} // namespace papayaway
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -15,6 +15,7 @@
 #include "FactSpreader.h"
 #include "LocalTarget.h"
 #include "MemberAgent.h"
+#include "MoveAgent.h"
 #include "NodeContext.h"
 #include "PeerLinks.h"
 #include "PlatformAgent.h"
@@ -41,6 +42,7 @@
   EntryProxy mEntry;
   MemberAgent mMembers;
   PlatformAgent mPlatform;
+  MoveAgent mMoves;
   AdminApi mAdmin;
   std::unique_ptr<HttpServer> mCallerServer;
   std::unique_ptr<HttpServer> mAdminServer;
@@ -65,7 +67,11 @@
     , mSpreader(mContext,
                 mLinks,
                 { .mFactChanged = [this](const Fact& aFact) { OnFact(aFact); },
-                  .mDocumentChanged = [this] { ScheduleSnapshot(); } })
+                  .mDocumentChanged =
+            [this] {
+              mMoves.OnDocumentChanged();
+              ScheduleSnapshot();
+            } })
     , mTarget(
         mContext,
         { .mChanged =
@@ -73,9 +79,18 @@
           .mRestarted = [] {} })
     , mTargetProxy(mContext,
                    mTarget,
-                   { .mAdmitExposure = [](const Call&) { return true; },
-                     .mReleaseExposure = [](const Call&) {},
-                     .mObserved = [](const Call&, bool, Millis) {} })
+                   { .mAdmitExposure =
+                       [this](const Call& aCall) {
+                         return mMoves.AdmitExposure(aCall);
+                       },
+                     .mReleaseExposure =
+                       [this](const Call& aCall) {
+                         mMoves.ReleaseExposure(aCall);
+                       },
+                     .mObserved =
+                       [this](const Call& aCall, bool aFailed, Millis aTime) {
+                         mMoves.OnObserved(aCall, aFailed, aTime);
+                       } })
     , mEntry(
         mContext,
         mLinks,
@@ -85,6 +100,11 @@
           .mIsQuarantined = [](const Call&) { return false; } })
     , mMembers(mContext, mLinks, mSpreader)
     , mPlatform(mContext, mLinks, mSpreader, mMembers)
+    , mMoves(mContext,
+             mLinks,
+             mSpreader,
+             mPlatform.Client(),
+             [this] { return mPlatform.IsRelay(); })
     , mAdmin(mContext)
     , mStopTimer(aLoop, [this] { ContinueStop(); })
   {
@@ -138,6 +158,7 @@
   mSpreader.Start();
   mMembers.Start(mAdminServer->Address());
   mPlatform.Start(mAdminServer->Address());
+  mMoves.Start();
   return {};
 }
 
@@ -188,6 +209,7 @@
   addReport("/v1/status", [this] { return Status(); });
   addReport("/v1/endpoints",
             [this] { return EndpointsReport(mSpreader.Store()); });
+  addReport("/v1/moves", [this] { return mMoves.Report(); });
   addReport("/v1/timeline", [this] {
     return TimelineReport(mContext.mSettings.mName, mContext.mEvents);
   });
@@ -253,6 +275,8 @@
       mSpreader.OnDocumentWhole(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, DocumentRequest>) {
       mSpreader.OnDocumentRequest(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, Evidence>) {
+      mMoves.OnEvidence(aLink, aAlternative);
     }
   };
   mMembers.OnHeard(aLink);
@@ -290,6 +314,7 @@
     ScheduleSnapshot();
   }
   mMembers.OnFact(aFact);
+  mMoves.OnFact(aFact);
 }
 
 void
@@ -343,6 +368,7 @@
     return;
   }
   mStopTimer.Stop();
+  mMoves.Stop();
   mMembers.Leave();
   mPlatform.Stop();
   mContext.Record({ .mPart = "node",
--- a/libs/node/src/PlatformAgent.h
+++ b/libs/node/src/PlatformAgent.h
@@ -32,6 +32,7 @@
   void OnDocumentRequest(const std::shared_ptr<HttpExchange>& aExchange);
 
   [[nodiscard]] PlatformClient& Client() { return mClient; }
+  [[nodiscard]] bool IsRelay() const { return mRelay.IsRelay(); }
 
 private:
   void Register();
--- a/libs/wire/include/wire/Facts.h
+++ b/libs/wire/include/wire/Facts.h
@@ -114,9 +114,23 @@
   bool operator==(const QuarantineFact&) const = default;
 };
 
+/** Which node conducts the version moves, under the lease `conductor`. */
+struct ConductorFact
+{
+  std::string mNode;
+  std::string mPeerAddress;
+  std::uint64_t mToken = 0;
+
+  bool operator==(const ConductorFact&) const = default;
+};
+
 /** A keyed value that every node merges by the same rule. */
-using Fact =
-  std::variant<MemberFact, EndpointFact, RelayFact, MoveFact, QuarantineFact>;
+using Fact = std::variant<MemberFact,
+                          EndpointFact,
+                          RelayFact,
+                          MoveFact,
+                          QuarantineFact,
+                          ConductorFact>;
 
 /** @return the key, for example "member/nbo-1-a". */
 std::string FactKey(const Fact& aFact);
--- a/libs/wire/src/FactFields.h
+++ b/libs/wire/src/FactFields.h
@@ -78,4 +78,12 @@
   aFields.Time("e", aFact.mExpires);
 }
 
+void
+Describe(auto& aFields, Like<ConductorFact> auto& aFact)
+{
+  aFields.Text("n", aFact.mNode, kMaxName);
+  aFields.Text("p", aFact.mPeerAddress, kMaxName);
+  aFields.Number("t", aFact.mToken);
+}
+
 } // namespace papayaway
--- a/libs/wire/src/Facts.cpp
+++ b/libs/wire/src/Facts.cpp
@@ -59,6 +59,12 @@
   return "quarantine/" + KeyPart(aFact.mFingerprint);
 }
 
+std::string
+Key(const ConductorFact&)
+{
+  return "conductor";
+}
+
 // Rank() orders the facts of one key as far as the rule of the kind says;
 // the encoded form decides between facts of equal rank.
 
@@ -105,6 +111,12 @@
   return std::tuple(aFact.mSequence, aFact.mReleased);
 }
 
+auto
+Rank(const ConductorFact& aFact)
+{
+  return std::tuple(aFact.mToken, LowerFirst{ aFact.mNode });
+}
+
 } // namespace
 
 std::string
--- a/libs/wire/tests/Generators.h
+++ b/libs/wire/tests/Generators.h
@@ -79,6 +79,8 @@
         asFact),
     map(construct<QuarantineFact>(
           AnyName(), AnyName(), arbitrary<bool>(), SmallNumber(), AnyTime()),
+        asFact),
+    map(construct<ConductorFact>(AnyName(), AnyName(), SmallNumber()),
         asFact));
 }
 
