--- a/libs/node/src/ConductorLease.cpp
+++ b/libs/node/src/ConductorLease.cpp
@@ -81,10 +81,8 @@
 ConductorLease::Release()
 {
   if (mGrant) {
-    mClient.ReleaseLease(kLeaseName,
-                         mContext.mSettings.mName,
-                         mGrant->mToken,
-                         [](const auto&) {});
+    mClient.ReleaseLease(
+      kLeaseName, mContext.mSettings.mName, mGrant->mToken, [](const auto&) {});
     mGrant.reset();
   }
 }
--- a/libs/node/src/MemberAgent.h
+++ b/libs/node/src/MemberAgent.h
@@ -17,7 +17,9 @@
 class MemberAgent
 {
 public:
-  MemberAgent(NodeContext& aContext, PeerLinks& aLinks, FactSpreader& aSpreader);
+  MemberAgent(NodeContext& aContext,
+              PeerLinks& aLinks,
+              FactSpreader& aSpreader);
 
   void Start(const std::string& aAdminAddress);
 
--- a/libs/node/src/MoveAgent.cpp
+++ b/libs/node/src/MoveAgent.cpp
@@ -41,17 +41,16 @@
     if (state < 0 || state > static_cast<int>(MoveState::TakenBack)) {
       return std::nullopt;
     }
-    return MoveFact{
-      .mService = aJson.at("service").get<std::string>(),
-      .mTo = aJson.at("to").get<std::string>(),
-      .mAttempt = aJson.at("attempt").get<int>(),
-      .mState = static_cast<MoveState>(state),
-      .mStage = aJson.at("stage").get<std::uint64_t>(),
-      .mShare = std::clamp(aJson.at("share").get<int>(), 0, kWholeShare),
-      .mStarted = { aJson.at("started_ms").get<double>() },
-      .mToken = aJson.at("token").get<std::uint64_t>(),
-      .mReason = aJson.at("reason").get<std::string>()
-    };
+    return MoveFact{ .mService = aJson.at("service").get<std::string>(),
+                     .mTo = aJson.at("to").get<std::string>(),
+                     .mAttempt = aJson.at("attempt").get<int>(),
+                     .mState = static_cast<MoveState>(state),
+                     .mStage = aJson.at("stage").get<std::uint64_t>(),
+                     .mShare =
+                       std::clamp(aJson.at("share").get<int>(), 0, kWholeShare),
+                     .mStarted = { aJson.at("started_ms").get<double>() },
+                     .mToken = aJson.at("token").get<std::uint64_t>(),
+                     .mReason = aJson.at("reason").get<std::string>() };
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
@@ -74,8 +73,7 @@
 std::string
 Describe(const MoveFact& aFact)
 {
-  const std::string move =
-    "move of " + aFact.mService + " to " + aFact.mTo;
+  const std::string move = "move of " + aFact.mService + " to " + aFact.mTo;
   switch (aFact.mState) {
     case MoveState::Running:
       return move + " is at a share of " + std::to_string(aFact.mShare) +
@@ -135,8 +133,7 @@
   const MoveFact wanted{ .mService = aService.mName,
                          .mTo = move.mTo,
                          .mAttempt = move.mAttempt };
-  const auto* const fact =
-    mSpreader.Store().Find<MoveFact>(FactKey(wanted));
+  const auto* const fact = mSpreader.Store().Find<MoveFact>(FactKey(wanted));
   return fact == nullptr ? std::nullopt : std::optional(*fact);
 }
 
@@ -178,8 +175,7 @@
   std::vector<std::string> unreachable;
   for (const RegionLayout& region : mSpreader.Current().mRegions) {
     for (const std::string& dataCentre : region.mDataCentres) {
-      const auto* const relay =
-        facts.Find<RelayFact>("relay/" + dataCentre);
+      const auto* const relay = facts.Find<RelayFact>("relay/" + dataCentre);
       const MemberFact* const member =
         relay == nullptr ? nullptr : facts.Member(relay->mNode);
       if (member == nullptr || member->mState != MemberState::Alive) {
@@ -221,8 +217,7 @@
 MoveAgent::Tick()
 {
   SendEvidence();
-  const bool compete =
-    mMayConduct() && (HasOpenMove() || mLease->IsHeld());
+  const bool compete = mMayConduct() && (HasOpenMove() || mLease->IsHeld());
   mLease->Tick(compete);
   for (const Service& service : mSpreader.Current().mServices) {
     if (!service.mMove) {
@@ -257,18 +252,17 @@
 {
   mWriting.insert(aFact.mService);
   Transaction transaction{ .mOperation = RandomId(mContext.mRandom),
-                           .mWrites = { { MoveKeyOf(aFact),
-                                          ToJson(aFact) } } };
+                           .mWrites = { { MoveKeyOf(aFact), ToJson(aFact) } } };
   if (aFact.mState != MoveState::TakenBack) {
     transaction.mLeases.push_back({ "conductor", aFact.mToken });
   }
-  mClient.Commit(
-    transaction, [this, aFact](const Expected<CommitAnswer>& aAnswer) {
-      mWriting.erase(aFact.mService);
-      if (aAnswer && std::holds_alternative<Committed>(*aAnswer)) {
-        mSpreader.Publish(aFact);
-      }
-    });
+  mClient.Commit(transaction,
+                 [this, aFact](const Expected<CommitAnswer>& aAnswer) {
+                   mWriting.erase(aFact.mService);
+                   if (aAnswer && std::holds_alternative<Committed>(*aAnswer)) {
+                     mSpreader.Publish(aFact);
+                   }
+                 });
 }
 
 void
@@ -278,8 +272,8 @@
   if (!input.mCurrent || input.mCurrent->mState == MoveState::TakenBack) {
     return;
   }
-  const std::optional<MoveFact> fact = mTakeBack.Decide(
-    input, mContext.mSettings.mName, mWindow, WallNow());
+  const std::optional<MoveFact> fact =
+    mTakeBack.Decide(input, mContext.mSettings.mName, mWindow, WallNow());
   if (fact) {
     mSpreader.Publish(*fact);
     Write(*fact);
@@ -423,15 +417,14 @@
       continue;
     }
     const MoveInput input = InputOf(service);
-    const MoveReport report =
-      MakeMoveReport({ .mService = service.mName,
-                       .mMove = *service.mMove,
-                       .mFact = input.mCurrent,
-                       .mUnreachable = UnreachableDataCentres(),
-                       .mConductor =
-                         conductor == nullptr ? "" : conductor->mNode,
-                       .mWaiting = mController.Waiting(input) },
-                     WallNow());
+    const MoveReport report = MakeMoveReport(
+      { .mService = service.mName,
+        .mMove = *service.mMove,
+        .mFact = input.mCurrent,
+        .mUnreachable = UnreachableDataCentres(),
+        .mConductor = conductor == nullptr ? "" : conductor->mNode,
+        .mWaiting = mController.Waiting(input) },
+      WallNow());
     moves.push_back(
       { { "service", report.mService },
         { "to", report.mTo },
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -68,29 +68,26 @@
                 mLinks,
                 { .mFactChanged = [this](const Fact& aFact) { OnFact(aFact); },
                   .mDocumentChanged =
-            [this] {
-              mMoves.OnDocumentChanged();
-              ScheduleSnapshot();
-            } })
+                    [this] {
+                      mMoves.OnDocumentChanged();
+                      ScheduleSnapshot();
+                    } })
     , mTarget(
         mContext,
         { .mChanged =
             [this](const EndpointFact& aFact) { mSpreader.Publish(aFact); },
           .mRestarted = [] {} })
-    , mTargetProxy(mContext,
-                   mTarget,
-                   { .mAdmitExposure =
-                       [this](const Call& aCall) {
-                         return mMoves.AdmitExposure(aCall);
-                       },
-                     .mReleaseExposure =
-                       [this](const Call& aCall) {
-                         mMoves.ReleaseExposure(aCall);
-                       },
-                     .mObserved =
-                       [this](const Call& aCall, bool aFailed, Millis aTime) {
-                         mMoves.OnObserved(aCall, aFailed, aTime);
-                       } })
+    , mTargetProxy(
+        mContext,
+        mTarget,
+        { .mAdmitExposure =
+            [this](const Call& aCall) { return mMoves.AdmitExposure(aCall); },
+          .mReleaseExposure =
+            [this](const Call& aCall) { mMoves.ReleaseExposure(aCall); },
+          .mObserved =
+            [this](const Call& aCall, bool aFailed, Millis aTime) {
+              mMoves.OnObserved(aCall, aFailed, aTime);
+            } })
     , mEntry(
         mContext,
         mLinks,
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -370,8 +370,7 @@
 PeerLinks::SendToMesh(const std::string& aNode, const Message& aMessage)
 {
   for (const auto& [id, link] : mLinks) {
-    if (link->mReady && !link->mInfo.mCallsOnly &&
-        link->mInfo.mNode == aNode) {
+    if (link->mReady && !link->mInfo.mCallsOnly && link->mInfo.mNode == aNode) {
       SendOn(*link, aMessage, Encode(aMessage));
       return;
     }
--- a/libs/node/src/PlatformAgent.cpp
+++ b/libs/node/src/PlatformAgent.cpp
@@ -137,22 +137,22 @@
   if (!mLinks.MeshLinks().empty()) {
     return;
   }
-  mClient.ScanRows(
-    "nodes/" + mContext.mSettings.mDataCentre + "/",
-    [this](const Expected<std::vector<TableRow>>& aRows) {
-      OnPlatformAnswer(aRows.has_value());
-      if (!aRows || mStopped) {
-        return;
-      }
-      std::vector<std::string> addresses;
-      for (const TableRow& row : *aRows) {
-        const std::string address = TextField(row.mValue, "peer");
-        if (!address.empty() && address != mLinks.Address()) {
-          addresses.push_back(address);
-        }
-      }
-      mMembers.SetCandidates(addresses);
-    });
+  mClient.ScanRows("nodes/" + mContext.mSettings.mDataCentre + "/",
+                   [this](const Expected<std::vector<TableRow>>& aRows) {
+                     OnPlatformAnswer(aRows.has_value());
+                     if (!aRows || mStopped) {
+                       return;
+                     }
+                     std::vector<std::string> addresses;
+                     for (const TableRow& row : *aRows) {
+                       const std::string address =
+                         TextField(row.mValue, "peer");
+                       if (!address.empty() && address != mLinks.Address()) {
+                         addresses.push_back(address);
+                       }
+                     }
+                     mMembers.SetCandidates(addresses);
+                   });
 }
 
 void
--- a/libs/node/src/RelayAgent.cpp
+++ b/libs/node/src/RelayAgent.cpp
@@ -93,19 +93,19 @@
                           .mHolder = mContext.mSettings.mName,
                           .mValue = mLinks.Address(),
                           .mDuration = aRequest.mTtl };
-  const auto onAnswer = [this, ttl = aRequest.mTtl](
-                          const Expected<LeaseAnswer>& aAnswer) {
-    LeaseResult result = LeaseUnanswered{};
-    if (aAnswer) {
-      if (const auto* const grant = std::get_if<LeaseGrant>(&*aAnswer)) {
-        result = LeaseGranted{ grant->mToken, ttl };
-      } else {
-        const auto& state = std::get<LeaseState>(*aAnswer);
-        result = LeaseRefused{ state.mHolder, state.mRemaining };
+  const auto onAnswer =
+    [this, ttl = aRequest.mTtl](const Expected<LeaseAnswer>& aAnswer) {
+      LeaseResult result = LeaseUnanswered{};
+      if (aAnswer) {
+        if (const auto* const grant = std::get_if<LeaseGrant>(&*aAnswer)) {
+          result = LeaseGranted{ grant->mToken, ttl };
+        } else {
+          const auto& state = std::get<LeaseState>(*aAnswer);
+          result = LeaseRefused{ state.mHolder, state.mRemaining };
+        }
       }
-    }
-    Perform(mElection.OnResult(SteadyNow(), result, mContext.mRandom));
-  };
+      Perform(mElection.OnResult(SteadyNow(), result, mContext.mRandom));
+    };
   if (aRequest.mToken) {
     mClient.RenewLease(claim, *aRequest.mToken, onAnswer);
   } else {
@@ -158,12 +158,12 @@
       if (linked.contains(dataCentre) || known != nullptr) {
         continue;
       }
-      mClient.ReadLease(
-        LeaseName(dataCentre), [this](const Expected<LeaseState>& aLease) {
-          if (aLease && IsRelay()) {
-            mLinks.Probe(aLease->mValue);
-          }
-        });
+      mClient.ReadLease(LeaseName(dataCentre),
+                        [this](const Expected<LeaseState>& aLease) {
+                          if (aLease && IsRelay()) {
+                            mLinks.Probe(aLease->mValue);
+                          }
+                        });
     }
   }
 }
