Add papayawayctl

Cause: operators need to check, compare and promote documents and to read what the nodes report. Change: the logic is in libs/ctl, one file per group of commands, and the program only calls it. The fake node of the tests answers every request before it stops, because HttpServer ends the process if it is destroyed with unanswered requests.

--- /dev/null
+++ b/libs/ctl/src/DocumentSource.cpp
@@ -0,0 +1,61 @@
+#include "DocumentSource.h"
+
+#include <fstream>
+#include <iterator>
+#include <ostream>
+
+#include <config/DocumentParser.h>
+#include <config/FindingsJson.h>
+
+#include "Output.h"
+
+namespace papayaway {
+
+tl::expected<Document, ExitCode>
+ReadDocumentFile(CtlContext& aContext, const std::string& aPath)
+{
+  // One byte more than a document may have is enough to refuse it.
+  constexpr std::size_t kMostBytes = (std::size_t{ 1 } << 20) + 1;
+  std::ifstream file(aPath, std::ios::binary);
+  std::string text(kMostBytes, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (!file.is_open() || file.bad() || (file.fail() && !file.eof())) {
+    aContext.mErr << "can't read " << aPath << "\n";
+    return tl::unexpected(ExitCode::Failed);
+  }
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  auto document = ParseDocument(text, aPath);
+  if (!document) {
+    if (aContext.mOptions.mJson) {
+      PrintJson(aContext.mOut, ToJson(document.error()));
+    } else {
+      aContext.mErr << ToString(document.error());
+    }
+    return tl::unexpected(ExitCode::Usage);
+  }
+  return std::move(*document);
+}
+
+tl::expected<VersionedDocument, ExitCode>
+FetchDocument(CtlContext& aContext, const std::string& aEnvironment)
+{
+  const AdminReply reply = aContext.mClient.GetFromFirst(
+    aContext.mOptions.mNodes, "/v1/document?environment=" + aEnvironment);
+  if (!reply.Succeeded() || !reply.mBody.contains("document")) {
+    aContext.mErr << "no document of " << aEnvironment << ": "
+                  << Printable(reply.Problem()) << "\n";
+    return tl::unexpected(ExitCode::Failed);
+  }
+  auto document = ParseDocument(reply.mBody["document"]);
+  if (!document) {
+    aContext.mErr << "the document that " << reply.mAddress
+                  << " has in force can't be read:\n"
+                  << ToString(document.error());
+    return tl::unexpected(ExitCode::Failed);
+  }
+  return VersionedDocument{ static_cast<std::uint64_t>(
+                              NumberMember(reply.mBody, "version")),
+                            std::move(*document) };
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/ctl/tests/FakeNode.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <net/HttpServer.h>
+
+namespace papayaway {
+
+/** The admin interface of a node with fixed answers. It runs on its own
+ *  thread, because AdminClient blocks the thread of the test. */
+class FakeNode
+{
+public:
+  /** The answers to one method and path in order; the last one repeats. An
+   *  empty one leaves the request without an answer. */
+  using Answers = std::vector<std::optional<HttpResponse>>;
+
+  /** @param aAnswers by "METHOD /path". */
+  explicit FakeNode(std::map<std::string, Answers> aAnswers)
+    : mAnswers(std::move(aAnswers))
+  {
+    std::promise<std::string> address;
+    mThread = std::thread([&] { Serve(address); });
+    mAddress = address.get_future().get();
+  }
+
+  ~FakeNode()
+  {
+    eventfd_write(mStop, 1);
+    mThread.join();
+    close(mStop);
+  }
+
+  FakeNode(const FakeNode&) = delete;
+  FakeNode& operator=(const FakeNode&) = delete;
+
+  [[nodiscard]] const std::string& Address() const { return mAddress; }
+
+  /** @return the requests so far. */
+  std::vector<HttpRequest> Requests()
+  {
+    const std::lock_guard lock(mMutex);
+    return mRequests;
+  }
+
+private:
+  void Serve(std::promise<std::string>& aAddress)
+  {
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    auto server = HttpServer::Listen(
+      loop, {}, [&](const std::shared_ptr<HttpExchange>& aExchange) {
+        const HttpRequest& request = aExchange->Request();
+        const std::lock_guard lock(mMutex);
+        mRequests.push_back(request);
+        const std::string call = request.mMethod + " " + request.mPath;
+        const auto answers = mAnswers.find(call);
+        if (answers == mAnswers.end()) {
+          aExchange->Respond(JsonResponse(404, "{}"));
+          return;
+        }
+        const std::size_t index =
+          std::min(mCalls[call]++, answers->second.size() - 1);
+        if (answers->second[index]) {
+          aExchange->Respond(*answers->second[index]);
+        } else {
+          unanswered.push_back(aExchange);
+        }
+      });
+    IoWatcher stop(loop, mStop, [&](bool, bool) { loop.Stop(); });
+    stop.Watch(true, false);
+    aAddress.set_value((*server)->Address());
+    loop.Run();
+    // libmicrohttpd ends the process if a server stops with suspended
+    // connections, so every request has to get some answer.
+    for (const auto& exchange : unanswered) {
+      exchange->Respond({ .mStatus = 500 });
+    }
+  }
+
+  int mStop = eventfd(0, EFD_NONBLOCK);
+  std::map<std::string, Answers> mAnswers;
+  std::map<std::string, std::size_t> mCalls;
+  std::vector<HttpRequest> mRequests;
+  std::mutex mMutex;
+  std::string mAddress;
+  std::thread mThread;
+};
+
+} // namespace papayaway
