--- a/libs/node/src/RelayAgent.cpp
+++ b/libs/node/src/RelayAgent.cpp
@@ -148,6 +148,10 @@
   if (!IsRelay()) {
     return;
   }
+  if (mSpreader.Log().Version() == 0) {
+    SearchDirectory();
+    return;
+  }
   // The facts name the relays once a link to another data centre exists; the
   // leases at the platform lead to the first one.
   const std::set<std::string> linked = LinkedDataCentres();
@@ -168,6 +172,29 @@
   }
 }
 
+void
+RelayAgent::SearchDirectory()
+{
+  // Before the first document nothing names the data centres but the rows of
+  // their nodes. A link to any of them brings the facts of the relays.
+  mClient.ScanRows(
+    "nodes/", [this](const Expected<std::vector<TableRow>>& aRows) {
+      if (!aRows) {
+        return;
+      }
+      std::set<std::string> known = LinkedDataCentres();
+      for (const TableRow& row : *aRows) {
+        const std::string place = row.mKey.substr(0, row.mKey.rfind('/'));
+        const std::string dataCentre = place.substr(place.rfind('/') + 1);
+        const auto peer = row.mValue.find("peer");
+        if (peer != row.mValue.end() && peer->is_string() &&
+            known.insert(dataCentre).second) {
+          mLinks.Probe(peer->get<std::string>());
+        }
+      }
+    });
+}
+
 void
 RelayAgent::TidyDirectory()
 {
--- a/libs/node/src/RelayAgent.h
+++ b/libs/node/src/RelayAgent.h
@@ -41,6 +41,7 @@
   void Request(const RequestLease& aRequest);
   void Act(std::uint64_t aToken);
   void FindOtherRelays();
+  void SearchDirectory();
   void TidyDirectory();
   void OnDirectory(const std::vector<TableRow>& aRows);
   [[nodiscard]] std::string LeaseName(const std::string& aDataCentre) const;
--- a/libs/node/src/Reports.cpp
+++ b/libs/node/src/Reports.cpp
@@ -58,12 +58,17 @@
 {
   nlohmann::json endpoints = nlohmann::json::array();
   aFacts.ForEach<EndpointFact>([&](const EndpointFact& aEndpoint) {
-    endpoints.push_back({ { "node", aEndpoint.mNode },
-                          { "data_centre", aEndpoint.mDataCentre },
-                          { "service", aEndpoint.mService },
-                          { "version", aEndpoint.mVersion },
-                          { "state", Name(aEndpoint.mState) },
-                          { "slots", aEndpoint.mSlots } });
+    // The last state of an endpoint says nothing once its node is dead.
+    const MemberFact* const member = aFacts.Member(aEndpoint.mNode);
+    const bool reachable =
+      member != nullptr && member->mState <= MemberState::Suspect;
+    endpoints.push_back(
+      { { "node", aEndpoint.mNode },
+        { "data_centre", aEndpoint.mDataCentre },
+        { "service", aEndpoint.mService },
+        { "version", aEndpoint.mVersion },
+        { "state", reachable ? Name(aEndpoint.mState) : "unreachable" },
+        { "slots", aEndpoint.mSlots } });
   });
   return { { "endpoints", endpoints } };
 }
