--- /dev/null
+++ b/libs/records/src/HeldCopies.cpp
@@ -0,0 +1,133 @@
+#include <records/HeldCopies.h>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+namespace papayaway {
+
+namespace {
+
+constexpr std::size_t kOverhead = 256;
+
+} // namespace
+
+std::size_t
+HeldCopies::BytesOf(const Held& aHeld)
+{
+  return aHeld.mLines.size() + kOverhead;
+}
+
+void
+HeldCopies::OnCopy(const RecordCopy& aCopy, Millis aNow)
+{
+  if (aCopy.mStored) {
+    DropStored(aCopy.mOrigin,
+               aCopy.mIncarnation,
+               aCopy.mCustomer,
+               aCopy.mFirst,
+               aCopy.mLast);
+    return;
+  }
+  // A copy of a whole batch replaces the pieces that were sent before.
+  DropStored(aCopy.mOrigin,
+             aCopy.mIncarnation,
+             aCopy.mCustomer,
+             aCopy.mFirst,
+             aCopy.mLast);
+  Key key{ aCopy.mOrigin, aCopy.mIncarnation, aCopy.mCustomer, aCopy.mFirst };
+  Held held{ aCopy.mLast, aCopy.mLines, aNow };
+  if (mCopies.contains(key)) {
+    // What is held reaches further.
+    return;
+  }
+  if (BytesOf(held) > mMaxBytes) {
+    ++mDropped;
+    return;
+  }
+  while (mBytes + BytesOf(held) > mMaxBytes) {
+    ++mDropped;
+    Erase(std::min_element(mCopies.begin(),
+                           mCopies.end(),
+                           [](const auto& aLeft, const auto& aRight) {
+                             return aLeft.second.mSince < aRight.second.mSince;
+                           }));
+  }
+  mBytes += BytesOf(held);
+  mCopies.emplace(std::move(key), std::move(held));
+}
+
+std::vector<RecordObject>
+HeldCopies::Orphans(const std::string& aOrigin) const
+{
+  std::vector<RecordObject> objects;
+  std::optional<RecordObjectName> name;
+  for (auto entry = mCopies.lower_bound({ aOrigin, 0, "", 0 });
+       entry != mCopies.end() && std::get<0>(entry->first) == aOrigin;
+       ++entry) {
+    const auto& [origin, incarnation, customer, first] = entry->first;
+    const bool joins = name && name->mIncarnation == incarnation &&
+                       name->mCustomer == customer && name->mLast + 1 == first;
+    if (!joins) {
+      name = RecordObjectName{ .mCustomer = customer,
+                               .mNode = origin,
+                               .mIncarnation = incarnation,
+                               .mFirst = first };
+      objects.emplace_back();
+    }
+    name->mLast = entry->second.mLast;
+    objects.back().mName = name->ToString();
+    objects.back().mContent += entry->second.mLines;
+  }
+  return objects;
+}
+
+void
+HeldCopies::OnStored(const std::string& aName)
+{
+  if (const auto name = ParseRecordObjectName(aName)) {
+    DropStored(name->mNode,
+               name->mIncarnation,
+               name->mCustomer,
+               name->mFirst,
+               name->mLast);
+  }
+}
+
+void
+HeldCopies::OnTick(Millis aNow)
+{
+  for (auto entry = mCopies.begin(); entry != mCopies.end();) {
+    if (aNow - entry->second.mSince >= kLifetime) {
+      ++mDropped;
+      entry = Erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+void
+HeldCopies::DropStored(const std::string& aOrigin,
+                       std::uint64_t aIncarnation,
+                       const std::string& aCustomer,
+                       std::uint64_t aFirst,
+                       std::uint64_t aLast)
+{
+  auto entry =
+    mCopies.lower_bound({ aOrigin, aIncarnation, aCustomer, aFirst });
+  const Key end{ aOrigin, aIncarnation, aCustomer, aLast };
+  while (entry != mCopies.end() && entry->first <= end) {
+    entry = entry->second.mLast <= aLast ? Erase(entry) : std::next(entry);
+  }
+}
+
+HeldCopies::Copies::iterator
+HeldCopies::Erase(Copies::iterator aCopy)
+{
+  mBytes -= BytesOf(aCopy->second);
+  return mCopies.erase(aCopy);
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/records/src/RecordBuffer.cpp
@@ -0,0 +1,313 @@
+#include <records/RecordBuffer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaway {
+
+namespace {
+
+constexpr Millis kFirstBackOff{ 500 };
+constexpr Millis kLongestBackOff = Seconds(30);
+// Copies that nobody takes, for want of a neighbour, give way at this size.
+constexpr std::size_t kMaxCopyBytes = std::size_t{ 256 } << 10;
+
+} // namespace
+
+RecordBuffer::RecordBuffer(std::string aNode,
+                           std::uint64_t aIncarnation,
+                           RecordBufferOptions aOptions)
+  : mNode(std::move(aNode))
+  , mIncarnation(aIncarnation)
+  , mOptions(aOptions)
+{
+}
+
+void
+RecordBuffer::Append(const std::string& aCustomer,
+                     RequestRecord aRecord,
+                     Millis aNow)
+{
+  auto known = mSequences.find(aCustomer);
+  if (known == mSequences.end()) {
+    if (mSequences.size() >= mOptions.mMaxCustomers) {
+      ++mUntracked;
+      return;
+    }
+    known = mSequences.emplace(aCustomer, 0).first;
+  }
+  aRecord.mSequence = ++known->second;
+  const std::string line = ToLine(aRecord);
+  while (mBytes + line.size() > mOptions.mMaxBytes) {
+    if (!DropOldest()) {
+      Close(aCustomer);
+      ++mDropped;
+      AddGap(aCustomer, aRecord.mSequence, aRecord.mSequence);
+      return;
+    }
+  }
+  OpenBatch& open = mOpen[aCustomer];
+  if (open.mLines.empty()) {
+    open.mFirst = aRecord.mSequence;
+    open.mCopiedLast = aRecord.mSequence - 1;
+    open.mSince = aNow;
+  }
+  open.mLast = aRecord.mSequence;
+  open.mLines += line;
+  mBytes += line.size();
+  if (open.mLines.size() >= mOptions.mBatchBytes) {
+    Close(aCustomer);
+  }
+}
+
+std::vector<RecordObject>
+RecordBuffer::TakeDue(Millis aNow)
+{
+  std::vector<std::string> old;
+  for (const auto& [customer, open] : mOpen) {
+    if (aNow - open.mSince >= mOptions.mBatchAge) {
+      old.push_back(customer);
+    }
+  }
+  for (const std::string& customer : old) {
+    Close(customer);
+  }
+  std::vector<RecordObject> due;
+  bool recordsLeft = false;
+  for (auto& [age, batch] : mBatches) {
+    const bool isFinal = batch.mName.mKind == RecordObjectKind::Final;
+    recordsLeft = recordsLeft || !isFinal;
+    if (mPuts >= mOptions.mMaxPuts) {
+      break;
+    }
+    // A final marker says that nothing is missing but named gaps.
+    if (batch.mPutting || batch.mDueAt > aNow || (isFinal && recordsLeft)) {
+      continue;
+    }
+    batch.mPutting = true;
+    ++mPuts;
+    if (batch.mName.mKind == RecordObjectKind::Dropped) {
+      mGaps.erase(batch.mName.mCustomer);
+    }
+    due.push_back({ batch.mName.ToString(), batch.mLines });
+  }
+  return due;
+}
+
+void
+RecordBuffer::OnStored(const std::string& aName)
+{
+  const auto found = Find(aName);
+  if (found == mBatches.end()) {
+    return;
+  }
+  Batch& batch = found->second;
+  if (batch.mName.mKind == RecordObjectKind::Records) {
+    RecordCopy notice = CopyOf(batch.mName, "");
+    notice.mStored = true;
+    AddCopy(std::move(notice));
+  }
+  mBytes -= batch.mLines.size();
+  --mPuts;
+  mBatches.erase(found);
+}
+
+void
+RecordBuffer::OnStoreFailed(const std::string& aName,
+                            Millis aNow,
+                            Random& aRandom)
+{
+  const auto found = Find(aName);
+  if (found == mBatches.end()) {
+    return;
+  }
+  Batch& batch = found->second;
+  batch.mPutting = false;
+  --mPuts;
+  const int doublings = std::min(batch.mFailures, 6);
+  const Millis backOff =
+    std::min(kLongestBackOff, kFirstBackOff * (1 << doublings));
+  ++batch.mFailures;
+  batch.mDueAt = aNow + backOff * (0.5 + UniformFraction(aRandom) / 2);
+  const std::string& customer = batch.mName.mCustomer;
+  if (batch.mName.mKind == RecordObjectKind::Dropped) {
+    const auto [other, added] = mGaps.try_emplace(customer, found->first);
+    if (!added) {
+      Batch& waiting = mBatches.at(other->second);
+      waiting.mName.mFirst = std::min(waiting.mName.mFirst, batch.mName.mFirst);
+      waiting.mName.mLast = std::max(waiting.mName.mLast, batch.mName.mLast);
+      mBatches.erase(found);
+    }
+  }
+}
+
+std::vector<RecordCopy>
+RecordBuffer::TakeCopies()
+{
+  for (auto& [customer, open] : mOpen) {
+    TakeCopy(customer, open);
+  }
+  std::vector<RecordCopy> copies = std::exchange(mCopies, {});
+  mCopyBytes = 0;
+  if (std::exchange(mCopiesLost, false)) {
+    const std::vector<RecordCopy> all = AllCopies();
+    copies.insert(copies.end(), all.begin(), all.end());
+  }
+  return copies;
+}
+
+std::vector<RecordCopy>
+RecordBuffer::AllCopies() const
+{
+  std::vector<RecordCopy> copies;
+  for (const auto& [age, batch] : mBatches) {
+    if (batch.mName.mKind == RecordObjectKind::Records) {
+      copies.push_back(CopyOf(batch.mName, batch.mLines));
+    }
+  }
+  for (const auto& [customer, open] : mOpen) {
+    copies.push_back(CopyOf(
+      NameOf(customer, RecordObjectKind::Records, open.mFirst, open.mLast),
+      open.mLines));
+  }
+  return copies;
+}
+
+void
+RecordBuffer::Finish()
+{
+  while (!mOpen.empty()) {
+    Close(std::string(mOpen.begin()->first));
+  }
+  for (const auto& [customer, last] : mSequences) {
+    Add({ .mName = NameOf(customer, RecordObjectKind::Final, last, last) });
+  }
+}
+
+bool
+RecordBuffer::IsEmpty() const
+{
+  return mOpen.empty() && mBatches.empty();
+}
+
+RecordObjectName
+RecordBuffer::NameOf(const std::string& aCustomer,
+                     RecordObjectKind aKind,
+                     std::uint64_t aFirst,
+                     std::uint64_t aLast) const
+{
+  return { aCustomer, mNode, mIncarnation, aKind, aFirst, aLast };
+}
+
+RecordCopy
+RecordBuffer::CopyOf(const RecordObjectName& aName, std::string aLines) const
+{
+  return { .mOrigin = mNode,
+           .mIncarnation = mIncarnation,
+           .mFirst = aName.mFirst,
+           .mLast = aName.mLast,
+           .mCustomer = aName.mCustomer,
+           .mLines = std::move(aLines) };
+}
+
+std::uint64_t
+RecordBuffer::Add(Batch aBatch)
+{
+  mBatches.emplace(mClosed, std::move(aBatch));
+  return mClosed++;
+}
+
+void
+RecordBuffer::AddCopy(RecordCopy aCopy)
+{
+  const std::size_t bytes = aCopy.mLines.size() + sizeof(RecordCopy);
+  if (mCopyBytes + bytes > kMaxCopyBytes) {
+    mCopiesLost = true;
+    mCopies.clear();
+    mCopyBytes = 0;
+  }
+  mCopyBytes += bytes;
+  mCopies.push_back(std::move(aCopy));
+}
+
+void
+RecordBuffer::TakeCopy(const std::string& aCustomer, OpenBatch& aOpen)
+{
+  if (aOpen.mCopiedBytes == aOpen.mLines.size()) {
+    return;
+  }
+  const RecordObjectName name = NameOf(
+    aCustomer, RecordObjectKind::Records, aOpen.mCopiedLast + 1, aOpen.mLast);
+  AddCopy(CopyOf(name, aOpen.mLines.substr(aOpen.mCopiedBytes)));
+  aOpen.mCopiedBytes = aOpen.mLines.size();
+  aOpen.mCopiedLast = aOpen.mLast;
+}
+
+void
+RecordBuffer::Close(const std::string& aCustomer)
+{
+  const auto found = mOpen.find(aCustomer);
+  if (found == mOpen.end()) {
+    return;
+  }
+  OpenBatch& open = found->second;
+  TakeCopy(aCustomer, open);
+  Add({ .mName =
+          NameOf(aCustomer, RecordObjectKind::Records, open.mFirst, open.mLast),
+        .mLines = std::move(open.mLines) });
+  mOpen.erase(found);
+}
+
+bool
+RecordBuffer::DropOldest()
+{
+  const auto isDroppable = [](const auto& aEntry) {
+    return aEntry.second.mName.mKind == RecordObjectKind::Records &&
+           !aEntry.second.mPutting;
+  };
+  auto oldest = std::find_if(mBatches.begin(), mBatches.end(), isDroppable);
+  if (oldest == mBatches.end()) {
+    const auto open = std::min_element(
+      mOpen.begin(), mOpen.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.mSince < aRight.second.mSince;
+      });
+    if (open == mOpen.end()) {
+      return false;
+    }
+    Close(std::string(open->first));
+    oldest = std::find_if(mBatches.begin(), mBatches.end(), isDroppable);
+  }
+  const RecordObjectName name = oldest->second.mName;
+  mBytes -= oldest->second.mLines.size();
+  mBatches.erase(oldest);
+  mDropped += name.mLast - name.mFirst + 1;
+  AddGap(name.mCustomer, name.mFirst, name.mLast);
+  return true;
+}
+
+void
+RecordBuffer::AddGap(const std::string& aCustomer,
+                     std::uint64_t aFirst,
+                     std::uint64_t aLast)
+{
+  const auto known = mGaps.find(aCustomer);
+  if (known != mGaps.end()) {
+    RecordObjectName& name = mBatches.at(known->second).mName;
+    name.mFirst = std::min(name.mFirst, aFirst);
+    name.mLast = std::max(name.mLast, aLast);
+    return;
+  }
+  mGaps[aCustomer] = Add(
+    { .mName = NameOf(aCustomer, RecordObjectKind::Dropped, aFirst, aLast) });
+}
+
+RecordBuffer::Batches::iterator
+RecordBuffer::Find(const std::string& aName)
+{
+  return std::find_if(
+    mBatches.begin(), mBatches.end(), [&](const auto& aEntry) {
+      return aEntry.second.mPutting && aEntry.second.mName.ToString() == aName;
+    });
+}
+
+} // namespace papayaway
