--- a/libs/config/src/DocumentParser.cpp
+++ b/libs/config/src/DocumentParser.cpp
@@ -10,6 +10,7 @@
 #include <config/Names.h>
 
 #include "NodeReader.h"
+#include "SortFindings.h"
 
 namespace papayaway {
 namespace {
@@ -323,6 +324,7 @@
     document = DocumentReader(list).Read(*aRoot);
   }
   if (!aFindings.empty()) {
+    SortByLine(aFindings);
     return tl::unexpected(std::move(aFindings));
   }
   return document;
--- a/libs/config/src/NodeSettings.cpp
+++ b/libs/config/src/NodeSettings.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <climits>
 #include <functional>
 #include <map>
 
@@ -12,6 +11,7 @@
 #include <config/SettingsKeys.h>
 
 #include "IniReader.h"
+#include "SortFindings.h"
 
 namespace papayaway {
 namespace {
@@ -279,15 +279,7 @@
   const IniContent content = ReadIni(aText, aFile, findings);
   NodeSettings settings = SettingsReader(aFile, findings).Read(content);
   if (!findings.empty()) {
-    // Syntax findings were collected first; people read a file by lines.
-    std::stable_sort(findings.begin(),
-                     findings.end(),
-                     [](const Finding& aLeft, const Finding& aRight) {
-                       const auto order = [](const Finding& aFinding) {
-                         return aFinding.mLine == 0 ? INT_MAX : aFinding.mLine;
-                       };
-                       return order(aLeft) < order(aRight);
-                     });
+    SortByLine(findings);
     return tl::unexpected(std::move(findings));
   }
   return settings;
--- a/libs/config/tests/DocumentParserTest.cpp
+++ b/libs/config/tests/DocumentParserTest.cpp
@@ -90,6 +90,7 @@
   };
   std::sort(expected.begin(), expected.end());
   EXPECT_EQ(Places(result), expected);
+  EXPECT_EQ(result.error().back().mLine, 27);
 }
 
 // Guards against a line that is off by one when a number ends at a newline.
--- a/libs/ctl/src/CommandLine.cpp
+++ b/libs/ctl/src/CommandLine.cpp
@@ -260,7 +260,7 @@
        << CommonOptions() << "\n"
        << PromotionOptions() << "\n"
        << TimelineOptions()
-       << "  --node NAME            events of this node\n\n"
+       << "  --node NAME           events of this node\n\n"
           "Exit codes:\n"
           "  0  done\n"
           "  1  refused or failed\n"
