Keep the loop running for deferred callbacks and guard late ones

Cause: EventLoop::Run() returned while a deferred callback was pending if no watcher was active, and callbacks deferred by HttpServer and HttpClient used the object after its destruction.

Change: an idle watcher is active while callbacks wait; the callbacks check that their object still exists.

Conclusion: deferred callbacks run once, and only for live objects.

--- a/libs/net/src/EventLoop.cpp
+++ b/libs/net/src/EventLoop.cpp
@@ -11,6 +11,9 @@
 {
   struct ev_loop* mLoop = ev_loop_new(EVFLAG_AUTO);
   ev_prepare mPrepare{};
+  /** Active while callbacks are deferred, so that the loop neither blocks nor
+   *  ends before they have run. */
+  ev_idle mIdle{};
   std::vector<Callback> mDeferred;
 
   void RunDeferred()
@@ -23,6 +26,7 @@
         callback();
       }
     }
+    ev_idle_stop(mLoop, &mIdle);
   }
 };
 
@@ -34,6 +38,7 @@
                     static_cast<Impl*>(aWatcher->data)->RunDeferred();
                   });
   mImpl->mPrepare.data = mImpl.get();
+  ev_idle_init(&mImpl->mIdle, [](struct ev_loop*, ev_idle*, int) {});
   ev_prepare_start(mImpl->mLoop, &mImpl->mPrepare);
   // The prepare watcher alone must not keep Run() from returning.
   ev_unref(mImpl->mLoop);
@@ -43,6 +48,7 @@
 {
   // Deferred callbacks may own watchers, which need the loop to stop.
   mImpl->mDeferred.clear();
+  ev_idle_stop(mImpl->mLoop, &mImpl->mIdle);
   ev_ref(mImpl->mLoop);
   ev_prepare_stop(mImpl->mLoop, &mImpl->mPrepare);
   ev_loop_destroy(mImpl->mLoop);
@@ -64,6 +70,7 @@
 EventLoop::Defer(Callback aCallback)
 {
   mImpl->mDeferred.push_back(std::move(aCallback));
+  ev_idle_start(mImpl->mLoop, &mImpl->mIdle);
 }
 
 struct ev_loop*
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -50,6 +50,8 @@
   EventLoop& mLoop;
   HttpClientOptions mOptions;
   CURLM* mMulti = curl_multi_init();
+  /** Expires with this object; deferred callbacks check it. */
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   Timer mTimer;
   CallId mNextId = 1;
   std::unordered_map<CallId, std::unique_ptr<Transfer>> mTransfers;
@@ -241,7 +243,12 @@
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
     const CURLcode code = message->data.result;
     // The callback may start calls, so it runs outside of this function.
-    mLoop.Defer([this, id = transfer->mId, code] { Finish(id, code); });
+    mLoop.Defer(
+      [this, id = transfer->mId, code, alive = std::weak_ptr<bool>(mAlive)] {
+        if (!alive.expired()) {
+          Finish(id, code);
+        }
+      });
   }
 }
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -33,6 +33,7 @@
   std::uintptr_t mLastConnectionId = 0;
   std::unordered_set<MhdExchange*> mSuspended;
   bool mRunScheduled = false;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   std::unique_ptr<IoWatcher> mEpollWatcher;
   std::unique_ptr<Timer> mTimer;
 
@@ -334,9 +335,12 @@
 {
   if (!mRunScheduled) {
     mRunScheduled = true;
-    mLoop.Defer([this] {
-      mRunScheduled = false;
-      RunDaemon();
+    // The server may be destroyed before the callback runs.
+    mLoop.Defer([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired()) {
+        mRunScheduled = false;
+        RunDaemon();
+      }
     });
   }
 }
