Derive unknown type numbers in the message test from the variants

Cause: main adds a kind of fact, so the fixed number 5 of the test for unknown kinds becomes a known one.

Change: the test takes the first unknown number from the size of the variants; what it requires is unchanged. 13 tests of wire pass.

Conclusion: the test stays valid when kinds and messages are added.

--- a/libs/wire/tests/MessagesTest.cpp
+++ b/libs/wire/tests/MessagesTest.cpp
@@ -192,14 +192,14 @@
   ASSERT_TRUE(Decode(CborOf(changed("t", 1))));
   const std::vector<BadMessage> cases{
     { "not a map", nlohmann::json::array() },
-    { "unknown message", { { "t", 16 } } },
+    { "unknown message", { { "t", std::variant_size_v<Message> } } },
     { "negative type", { { "t", -1 } } },
     { "missing field", { { "t", 1 } } },
     { "wrong type", { { "t", 1 }, { "c", "1" } } },
     { "beyond a counter", { { "t", 1 }, { "c", kMaxCounter + 1 } } },
     { "wrong count of buckets",
       { { "t", 6 }, { "v", 1 }, { "b", { 1 } }, { "w", true } } },
-    { "unknown kind of fact", changed("k", 5) },
+    { "unknown kind of fact", changed("k", std::variant_size_v<Fact>) },
     { "enumerator out of range",
       { { "t", 2 },
         { "f",
