Let moves with short deadlines and scarce evidence finish in time

Cause: a stage without enough evidence lasted at least double the shortest stage, 4 s, so five stages exceed a deadline of 20 s.

Change: that time is bounded by the share of the deadline that the schedule gives a stage. Ruled out: a shorter shortest stage, which also shortens stages with evidence.

--- a/libs/rollout/include/rollout/ShareSchedule.h
+++ b/libs/rollout/include/rollout/ShareSchedule.h
@@ -44,6 +44,17 @@
       aDeadline * mShortestStage, mShortestStageLow, mShortestStageHigh);
   }
 
+  /** @return the least time in a stage without enough evidence. A conductor
+   *    that starts late catches up in double the shortest time per stage; with
+   *    a short deadline that would take longer than the move may. */
+  [[nodiscard]] Millis ShortestScarce(std::uint64_t aStage,
+                                      Millis aDeadline) const
+  {
+    return std::min(
+      Shortest(aStage, aDeadline) * 2,
+      std::max(Shortest(aStage, aDeadline), aDeadline * mScarceStage * 0.9));
+  }
+
   /** @return the time from the start of the move after which aStage ends
    *    even if evidence is scarce. */
   [[nodiscard]] Millis ScarceEnd(std::uint64_t aStage, Millis aDeadline) const
--- a/libs/rollout/src/MoveController.cpp
+++ b/libs/rollout/src/MoveController.cpp
@@ -118,10 +118,9 @@
       waiting = "no call reaches the new version";
       return std::nullopt;
     }
-    // A late conductor catches up in double the shortest time per stage.
     if (aNow - current.mStarted <
           mSchedule.ScarceEnd(current.mStage, deadline) ||
-        inStage < shortest * 2) {
+        inStage < mSchedule.ShortestScarce(current.mStage, deadline)) {
       waiting = aInput.mAllObserved ? "more evidence: " + verdict.mReason
                                     : "a data centre can't be observed";
       return std::nullopt;
