Judge a new version against an upper estimate of the old one

The old version's few recent calls were fast by chance (2.9 to 3.9 ms against 5.1 ms overall), or it had failed too rarely (2 of 586 calls at a true rate of 1%).

Change: two standard errors are added to the old version's failures, and latency is compared with the slower of its recent and whole mean.

--- a/libs/rollout/src/EvidenceJudge.cpp
+++ b/libs/rollout/src/EvidenceJudge.cpp
@@ -9,9 +9,10 @@
 
 using Cell = EvidenceWindow::Cell;
 
-/** Assumed for the old version before it has calls: 2 failures in 200. */
+/** Assumed for the old version before it has calls, together with the error
+ *  that is added to its count of failures: a rate of 1%. */
 constexpr double kPriorFailures = 2;
-constexpr double kPriorCalls = 200;
+constexpr double kPriorCalls = 400;
 /** No version is expected to be better than this. */
 constexpr double kLowestRate = 0.002;
 /** Reports of the two versions on one event arrive this far apart. */
@@ -29,11 +30,29 @@
   return sum;
 }
 
+/** @return an upper estimate of the old version's rate. With the plain rate a
+ *    good version was taken back because the old one had failed too rarely by
+ *    chance (2 of 586 calls at a true rate of 1%). */
 double
-ExpectedRate(const EvidenceBucket& aSum, double aPriorFailures, double aPrior)
+ExpectedRate(const EvidenceBucket& aSum)
 {
-  return (static_cast<double>(aSum.mFailures) + aPriorFailures) /
-         (static_cast<double>(aSum.mCalls) + aPrior);
+  const auto failures = static_cast<double>(aSum.mFailures);
+  return (failures + kPriorFailures + 2 * std::sqrt(failures + 1)) /
+         (static_cast<double>(aSum.mCalls) + kPriorCalls);
+}
+
+double
+Mean(const EvidenceBucket& aSum)
+{
+  return aSum.mLatencySum / static_cast<double>(aSum.mCalls);
+}
+
+double
+Variance(const EvidenceBucket& aSum)
+{
+  return std::max(0.0,
+                  aSum.mLatencySquareSum / static_cast<double>(aSum.mCalls) -
+                    Mean(aSum) * Mean(aSum));
 }
 
 Cell
@@ -102,10 +121,12 @@
         : Sum(aOld, bucket.mFrom - kReportSkew, bucket.mTo + kReportSkew);
     const double normal =
       std::max({ kLowestRate,
-                 ExpectedRate(whole, kPriorFailures, kPriorCalls),
+                 ExpectedRate(whole),
                  // A few calls alone say little, so one failure among them
                  // does not raise the expectation much.
-                 around.mFailures > 1 ? ExpectedRate(around, 0, 2) : 0 });
+                 around.mFailures > 1 ? static_cast<double>(around.mFailures) /
+                                          static_cast<double>(around.mCalls + 2)
+                                      : 0 });
     const auto calls = static_cast<double>(bucket.mCalls);
     const auto failures = static_cast<double>(bucket.mFailures);
     const auto add = [&](double& aSum, double aFaulty) {
@@ -145,36 +166,31 @@
     const EvidenceBucket recent = Sum(last, Millis{}, Never());
     if (used >= mOptions.mLatencySpans &&
         recent.mCalls >= mOptions.mLatencyCalls) {
-      EvidenceBucket old = Sum(aOld, last.front().mFrom - Seconds(10), Never());
-      if (old.mCalls < mOptions.mLatencyCalls) {
-        old = Sum(aOld, Millis{}, Never());
-      }
-      if (old.mCalls < mOptions.mLatencyCalls) {
+      // The slower of the old version's recent and whole mean counts: a few
+      // recent calls that were fast by chance prove nothing.
+      const EvidenceBucket whole = Sum(aOld, Millis{}, Never());
+      if (whole.mCalls < mOptions.mLatencyCalls) {
         return "";
       }
-      const auto mean = [](const EvidenceBucket& aSum) {
-        return aSum.mLatencySum / static_cast<double>(aSum.mCalls);
-      };
-      const auto variance = [&](const EvidenceBucket& aSum) {
-        return std::max(0.0,
-                        aSum.mLatencySquareSum /
-                            static_cast<double>(aSum.mCalls) -
-                          mean(aSum) * mean(aSum));
-      };
-      const double rise = mean(recent) - mean(old);
-      const double error =
-        std::sqrt(variance(old) / static_cast<double>(old.mCalls) +
-                  std::max(variance(recent), variance(old)) /
-                    static_cast<double>(recent.mCalls));
-      if (mean(recent) > mOptions.mLatencyFactor * mean(old) &&
+      const EvidenceBucket near =
+        Sum(aOld, last.front().mFrom - Seconds(10), Never());
+      const bool enough = near.mCalls >= mOptions.mLatencyCalls;
+      const EvidenceBucket& old =
+        enough && Mean(near) > Mean(whole) ? near : whole;
+      const double rise = Mean(recent) - Mean(old);
+      const double error = std::sqrt(
+        Variance(old) / static_cast<double>(old.mCalls) +
+        std::max({ Variance(recent), Variance(old), Variance(whole) }) /
+          static_cast<double>(recent.mCalls));
+      if (Mean(recent) > mOptions.mLatencyFactor * Mean(old) &&
           rise > mOptions.mLatencyRise.mCount &&
           rise > mOptions.mLatencySpread * error) {
         char text[96];
         std::snprintf(text,
                       sizeof text,
                       "mean latency %.1f ms, old version %.1f ms",
-                      mean(recent),
-                      mean(old));
+                      Mean(recent),
+                      Mean(old));
         return text;
       }
     }
