Find silent links for calls and distrust silent target connections

Cause: links that carry calls only had no sign of life, and after a silent connection to a target every pooled connection cost another call.

When a call times out and the target answered nothing since it was sent, later calls use no connection made before. Linter findings are mended.

Before: no detection. After: HttpClient.DistrustedConnectionsAreNotReused shows that the next call uses a new connection.

Conclusion: a silent connection costs one call, not one per connection.

--- a/libs/lab/src/ChildProcess.cpp
+++ b/libs/lab/src/ChildProcess.cpp
@@ -172,8 +172,8 @@
       Kill();
       return -1;
     }
-    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(
-      kExitPollPeriod.mCount));
+    std::this_thread::sleep_for(
+      std::chrono::duration<double, std::milli>(kExitPollPeriod.mCount));
   }
   return mExitCode;
 }
@@ -210,9 +210,8 @@
   const double used =
     std::stod(values[kUserTime]) + std::stod(values[kSystemTime]);
   return { .mCpu = Seconds(used / ticks),
-           .mResidentBytes =
-             std::stoull(values[kResidentPages]) *
-             static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) };
+           .mResidentBytes = std::stoull(values[kResidentPages]) *
+                             static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) };
 }
 
 } // namespace papayaway
--- a/libs/lab/src/Cluster.cpp
+++ b/libs/lab/src/Cluster.cpp
@@ -57,16 +57,16 @@
 void
 Cluster::StartPlatform()
 {
-  mPlatform = StartOrThrow(
-    { .mProgram = mOptions.mPrograms + "/papayaway-platform",
-      .mArguments = { "--listen", "127.0.0.1:0" },
-      .mLogFile = mOptions.mWorkFolder + "/platform.log" });
+  mPlatform =
+    StartOrThrow({ .mProgram = mOptions.mPrograms + "/papayaway-platform",
+                   .mArguments = { "--listen", "127.0.0.1:0" },
+                   .mLogFile = mOptions.mWorkFolder + "/platform.log" });
 }
 
 std::string
 Cluster::WriteSettings(const NodePlan& aPlan)
 {
-  const std::string path = mOptions.mWorkFolder + "/" + aPlan.mName + ".ini";
+  std::string path = mOptions.mWorkFolder + "/" + aPlan.mName + ".ini";
   std::ofstream file(path);
   file << "[node]\nname = " << aPlan.mName
        << "\ndata_centre = " << aPlan.mDataCentre
@@ -78,7 +78,8 @@
   // Seeds let a node join while the platform is down.
   std::string seeds;
   for (const auto& [name, node] : mNodes) {
-    if (mPlans.at(name).mDataCentre == aPlan.mDataCentre && name != aPlan.mName) {
+    if (mPlans.at(name).mDataCentre == aPlan.mDataCentre &&
+        name != aPlan.mName) {
       seeds += (seeds.empty() ? "" : ", ") + node.Address("peer");
     }
   }
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -78,8 +78,10 @@
    *  HttpFailure::Cancelled; an ended call is left alone. */
   void Cancel(CallId aId);
 
-  /** Closes pooled connections, so that later calls make new ones. */
-  void CloseIdleConnections();
+  /** Makes later calls use no connection that was made before now. Called
+   *  when an open connection has gone silent, because others of the same age
+   *  may be silent too. */
+  void DistrustOpenConnections();
 
   [[nodiscard]] std::size_t InFlight() const;
 
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMaxPooledHandles = 256;
+/** libcurl does not reuse a connection that was idle for 118 s. */
+constexpr Millis kLongestIdle = Seconds(120);
 
 HttpFailure
 Classify(CURLcode aCode, bool aSent)
@@ -53,6 +55,7 @@
   /** Expires with this object; deferred callbacks check it. */
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   Timer mTimer;
+  Millis mDistrustedBefore{ -1e9 };
   CallId mNextId = 1;
   std::unordered_map<CallId, std::unique_ptr<Transfer>> mTransfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<IoWatcher>> mWatchers;
@@ -189,7 +192,13 @@
   }
   // Without a body nothing stops that repetition but a connection that has
   // not been used before.
-  const bool fresh = call.mFreshConnection || (!call.mIdempotent && size == 0);
+  const Millis trusted = SteadyNow() - mDistrustedBefore;
+  const bool fresh = call.mFreshConnection ||
+                     (!call.mIdempotent && size == 0) || trusted < Seconds(1);
+  // libcurl counts the age of connections in whole seconds.
+  const long longestLife =
+    trusted < kLongestIdle ? static_cast<long>(trusted.Whole() / 1000) : 0;
+  curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN, longestLife);
   curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
 
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
@@ -371,12 +380,9 @@
 }
 
 void
-HttpClient::CloseIdleConnections()
+HttpClient::DistrustOpenConnections()
 {
-  // libcurl drops the connections above its limit when a call ends.
-  curl_multi_setopt(mImpl->mMulti, CURLMOPT_MAXCONNECTS, 1L);
-  curl_multi_setopt(
-    mImpl->mMulti, CURLMOPT_MAXCONNECTS, mImpl->mOptions.mMaxIdleConnections);
+  mImpl->mDistrustedBefore = SteadyNow();
 }
 
 std::size_t
--- a/libs/net/src/WebSocketSession.cpp
+++ b/libs/net/src/WebSocketSession.cpp
@@ -42,25 +42,26 @@
     mEndpoint.clear_access_channels(websocketpp::log::alevel::all);
     mEndpoint.clear_error_channels(websocketpp::log::elevel::all);
     mEndpoint.set_write_handler(
-      [this](connection_hdl, const char* aData, std::size_t aSize) {
+      [this](const connection_hdl&, const char* aData, std::size_t aSize) {
         mHandlers.mWrite(aData, aSize);
         return std::error_code();
       });
-    mEndpoint.set_shutdown_handler([this](connection_hdl) {
+    mEndpoint.set_shutdown_handler([this](const connection_hdl&) {
       Close("protocol error: " + mConnection->get_ec().message());
       return std::error_code();
     });
-    mEndpoint.set_open_handler([this](connection_hdl) {
+    mEndpoint.set_open_handler([this](const connection_hdl&) {
       mOpen = true;
       mHandlers.mOpened();
     });
     mEndpoint.set_message_handler(
-      [this](connection_hdl, typename Endpoint::message_ptr aMessage) {
+      [this](const connection_hdl&,
+             const typename Endpoint::message_ptr& aMessage) {
         mHandlers.mMessage(std::move(aMessage->get_raw_payload()));
       });
     mEndpoint.set_close_handler(
-      [this](connection_hdl) { Close("the peer closed the session"); });
-    mEndpoint.set_fail_handler([this](connection_hdl) {
+      [this](const connection_hdl&) { Close("the peer closed the session"); });
+    mEndpoint.set_fail_handler([this](const connection_hdl&) {
       Close(mConnection ? "handshake failed: " + mConnection->get_ec().message()
                         : "handshake failed");
     });
@@ -114,7 +115,7 @@
   explicit ServerSession(WebSocketHandlers aHandlers)
     : Session(std::move(aHandlers))
   {
-    mEndpoint.set_validate_handler([this](websocketpp::connection_hdl) {
+    mEndpoint.set_validate_handler([this](const websocketpp::connection_hdl&) {
       if (mHandlers.mAuthorize(
             mConnection->get_request_header("Authorization"))) {
         return true;
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -30,13 +30,23 @@
   return outcome.value_or(HttpResult{ HttpFailure::Timeout, {}, true, "" });
 }
 
-// A server that answers the first request of each connection and closes the
-// connection on the second one without an answer, as a crashing target does.
+// What a server does with the second request of a connection.
+enum class SecondRequest
+{
+  Close,
+  Ignore,
+};
+
+// A server that answers the first request of each connection. On the second
+// one it closes the connection without an answer, as a crashing target does,
+// or is silent, as a host behind a firewall that lost its state.
 class ClosingServer
 {
 public:
-  explicit ClosingServer(EventLoop& aLoop)
+  explicit ClosingServer(EventLoop& aLoop,
+                         SecondRequest aSecond = SecondRequest::Close)
     : mLoop(aLoop)
+    , mSecond(aSecond)
   {
     sockaddr_in address = *ParseAddress("127.0.0.1:0");
     socklen_t length = sizeof(address);
@@ -86,7 +96,9 @@
         }
         ++mRequests;
         if (++*served > 1) {
-          shutdown(descriptor, SHUT_RDWR);
+          if (mSecond == SecondRequest::Close) {
+            shutdown(descriptor, SHUT_RDWR);
+          }
           return;
         }
         constexpr std::string_view kAnswer =
@@ -97,6 +109,7 @@
   }
 
   EventLoop& mLoop;
+  SecondRequest mSecond;
   int mListener = -1;
   std::unique_ptr<IoWatcher> mAccept;
   std::vector<std::unique_ptr<IoWatcher>> mConnections;
@@ -125,6 +138,29 @@
   }
 }
 
+// Guards against one lost call for each pooled connection when all of them
+// have gone silent.
+TEST(HttpClient, DistrustedConnectionsAreNotReused)
+{
+  EventLoop loop;
+  ClosingServer server(loop, SecondRequest::Ignore);
+  HttpClient client(loop, {});
+  const HttpCall call{ .mAddress = server.mAddress, .mTimeout = { 300 } };
+  int answered = 0;
+  for (int i = 0; i < 2; ++i) {
+    client.Send(call, [&](const HttpResult& aResult) {
+      EXPECT_EQ(aResult.mFailure, HttpFailure::None);
+      if (++answered == 2) {
+        loop.Stop();
+      }
+    });
+  }
+  loop.Run();
+  EXPECT_EQ(CallAndWait(loop, client, call).mFailure, HttpFailure::Timeout);
+  client.DistrustOpenConnections();
+  EXPECT_EQ(CallAndWait(loop, client, call).mFailure, HttpFailure::None);
+}
+
 // Guards against a refused connection reported as a call that may have run.
 TEST(HttpClient, RefusedConnectionDidNotRun)
 {
--- a/libs/node/src/MemberAgent.cpp
+++ b/libs/node/src/MemberAgent.cpp
@@ -192,6 +192,7 @@
     }
   }
   std::vector<std::string> chosen;
+  chosen.reserve(wanted.size());
   for (const auto& [node, address] : wanted) {
     chosen.push_back(node);
   }
--- a/libs/node/src/MoveAgent.cpp
+++ b/libs/node/src/MoveAgent.cpp
@@ -73,7 +73,7 @@
 std::string
 Describe(const MoveFact& aFact)
 {
-  const std::string move = "move of " + aFact.mService + " to " + aFact.mTo;
+  std::string move = "move of " + aFact.mService + " to " + aFact.mTo;
   switch (aFact.mState) {
     case MoveState::Running:
       return move + " is at a share of " + std::to_string(aFact.mShare) +
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -6,15 +6,13 @@
 #include <glog/logging.h>
 
 #include "PeerAuthorization.h"
+#include "PeerLink.h"
 
 namespace papayaway {
 
 namespace {
 
 constexpr Millis kMaintenancePeriod{ 100 };
-/** A link that is not wanted any more is kept this long, so that messages on
- *  it arrive and its replacement is there first. */
-constexpr Millis kUnwantedLinkTime = Seconds(5);
 /** Messages that wait for a link to open. */
 constexpr std::size_t kMaxWaiting = 1024;
 
@@ -38,17 +36,6 @@
 
 } // namespace
 
-struct PeerLinks::Link
-{
-  LinkInfo mInfo;
-  std::string mAddress;
-  std::unique_ptr<PeerSocket> mSocket;
-  bool mReady = false;
-  Millis mLastReceived;
-  Millis mUnwantedSince;
-  std::vector<std::string> mWaiting;
-};
-
 PeerLinks::PeerLinks(NodeContext& aContext, PeerLinkHandlers aHandlers)
   : mContext(aContext)
   , mHandlers(std::move(aHandlers))
@@ -88,59 +75,6 @@
   return mAddress;
 }
 
-void
-PeerLinks::SetWanted(std::map<std::string, std::string> aWanted)
-{
-  const Millis now = SteadyNow();
-  std::erase_if(mWanted, [&](const auto& aEntry) {
-    const auto found = aWanted.find(aEntry.first);
-    return found == aWanted.end() || found->second != aEntry.second.mAddress;
-  });
-  for (const auto& [node, address] : aWanted) {
-    mWanted.try_emplace(node, WantedPeer{ address, {}, now });
-  }
-  MaintainWanted();
-}
-
-void
-PeerLinks::MaintainWanted()
-{
-  const Millis now = SteadyNow();
-  for (auto& [node, wanted] : mWanted) {
-    if (now >= wanted.mRetryAt && !HasMeshLink(node)) {
-      wanted.mRetryAt = now + wanted.mBackoff.Next(mContext.mRandom);
-      Open(node, wanted.mAddress, false);
-    }
-  }
-  std::vector<LinkId> unwanted;
-  for (const auto& [id, link] : mLinks) {
-    const LinkInfo& info = link->mInfo;
-    if (!info.mOutgoing || info.mCallsOnly || mWanted.contains(info.mNode)) {
-      link->mUnwantedSince = now;
-    } else if (now - link->mUnwantedSince > kUnwantedLinkTime) {
-      unwanted.push_back(id);
-    }
-  }
-  for (const LinkId id : unwanted) {
-    Close(id, "the link is no longer wanted");
-  }
-}
-
-void
-PeerLinks::Probe(const std::string& aAddress)
-{
-  if (aAddress == mAddress) {
-    return;
-  }
-  const bool known =
-    std::any_of(mLinks.begin(), mLinks.end(), [&](const auto& aEntry) {
-      return aEntry.second->mAddress == aAddress;
-    });
-  if (!known) {
-    Open("", aAddress, false);
-  }
-}
-
 PeerLinks::Link&
 PeerLinks::Open(const std::string& aNode,
                 const std::string& aAddress,
@@ -210,6 +144,7 @@
   }
   Link& link = *found->second;
   link.mLastReceived = SteadyNow();
+  link.mUnansweredSince = Never();
   Expected<Message> message = Decode(aBytes);
   if (!message) {
     mContext.mMetrics.mMalformedMessages.Increment();
@@ -228,6 +163,11 @@
   } else if (const auto* const error = std::get_if<ErrorMessage>(&*message)) {
     LOG(WARNING) << "peer: " << link.mInfo.mNode
                  << " reports an error: " << error->mText;
+  } else if (link.mReady && link.mInfo.mCallsOnly &&
+             std::holds_alternative<Heartbeat>(*message)) {
+    if (std::get<Heartbeat>(*message).mCount == kPing) {
+      link.mSocket->Send(Encode(Heartbeat{ kPong }));
+    }
   } else if (link.mReady) {
     const LinkInfo info = link.mInfo;
     mHandlers.mMessage(info, std::move(*message));
@@ -328,6 +268,9 @@
                   const std::string& aBytes)
 {
   CountBytes(aLink, aMessage, aBytes.size());
+  if (std::holds_alternative<Call>(aMessage)) {
+    aLink.mUnansweredSince = std::min(aLink.mUnansweredSince, SteadyNow());
+  }
   aLink.mSocket->Send(aBytes);
 }
 
--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -112,6 +112,7 @@
   void OnClosed(LinkId aId, const std::string& aReason);
   void SendOn(Link& aLink, const Message& aMessage, const std::string& aBytes);
   void MaintainWanted();
+  void FindSilentLinks();
   void CountBytes(const Link& aLink,
                   const Message& aMessage,
                   std::size_t aSize);
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -190,6 +190,14 @@
     StartQueued();
     return;
   }
+  if (aResult.mFailure == HttpFailure::None) {
+    mLastAnswer = SteadyNow();
+  } else if (aResult.mFailure == HttpFailure::Timeout &&
+             mLastAnswer < served.mSent) {
+    // Nothing came since the call was sent: the connection may have gone
+    // silent, and others with it. A target that is only slow answers others.
+    mClient.DistrustOpenConnections();
+  }
   Reply reply = ReplyOf(std::move(aResult));
   if (reply.mOutcome == Outcome::NotRun && served.mExposed) {
     mHandlers.mReleaseExposure(call);
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -86,6 +86,7 @@
   std::unordered_map<ServedId, Served> mServed;
   std::deque<ServedId> mQueue;
   std::size_t mAtTarget = 0;
+  Millis mLastAnswer;
   Timer mKeyExpiry;
 };
 
