--- a/libs/keys/include/keys/KeyLedger.h
+++ b/libs/keys/include/keys/KeyLedger.h
@@ -113,6 +113,14 @@
                   std::uint64_t aWaiter,
                   Millis aNow);
 
+  /** Asks to send a claimed key to the target, which is allowed once.
+   *  @param aWaiter the request that Admit() told to run the key.
+   *  @return false if the key was dispatched or abandoned before, for example
+   *    when the acknowledgement of an intent arrives twice or late. */
+  bool Dispatch(const std::string& aService,
+                const std::string& aKey,
+                std::uint64_t aWaiter);
+
   /** Records the response of a run.
    *  @return the waiters to answer with aResponse. */
   std::vector<std::uint64_t> Complete(const std::string& aService,
@@ -126,11 +134,16 @@
                                          const std::string& aKey,
                                          Millis aNow);
 
-  /** Forgets a claimed key that was not dispatched to a target.
-   *  @return the waiters to answer "not run". */
+  /** Forgets a claimed key that was not dispatched.
+   *  @return the waiters to answer "not run"; none if it was dispatched. */
   std::vector<std::uint64_t> Abandon(const std::string& aService,
                                      const std::string& aKey);
 
+  /** Forgets a dispatched key that the target refused without running it.
+   *  @return the waiters to answer "not run". */
+  std::vector<std::uint64_t> Refuse(const std::string& aService,
+                                    const std::string& aKey);
+
   /** Removes a waiter whose caller is gone; the run goes on. */
   void RemoveWaiter(const std::string& aService,
                     const std::string& aKey,
@@ -168,6 +181,9 @@
     KeyState mState = KeyState::InFlight;
     RecordedResponse mResponse;
     std::vector<std::uint64_t> mWaiters;
+    /** The request that runs the key. */
+    std::uint64_t mClaim = 0;
+    bool mDispatched = false;
     std::size_t mBytes = 0;
     Millis mExpires = Never();
   };
@@ -176,6 +192,7 @@
                                     const RecordedResponse* aResponse,
                                     Millis aNow);
   bool Insert(const Key& aKey, std::uint64_t aHash);
+  std::vector<std::uint64_t> Forget(const Key& aKey, bool aDispatched);
   void Erase(std::map<Key, Entry>::iterator aPosition);
 
   Options mOptions;
--- a/libs/keys/src/KeyLedger.cpp
+++ b/libs/keys/src/KeyLedger.cpp
@@ -90,10 +90,26 @@
     Finish(key, nullptr, aNow);
     return { KeyAdmission::Unknown, {} };
   }
-  mEntries[key].mWaiters.push_back(aWaiter);
+  Entry& entry = mEntries[key];
+  entry.mWaiters.push_back(aWaiter);
+  entry.mClaim = aWaiter;
   return { KeyAdmission::Run, {} };
 }
 
+bool
+KeyLedger::Dispatch(const std::string& aService,
+                    const std::string& aKey,
+                    std::uint64_t aWaiter)
+{
+  const auto it = mEntries.find({ aService, aKey });
+  if (it == mEntries.end() || it->second.mState != KeyState::InFlight ||
+      it->second.mClaim != aWaiter || it->second.mDispatched) {
+    return false;
+  }
+  it->second.mDispatched = true;
+  return true;
+}
+
 std::vector<std::uint64_t>
 KeyLedger::Complete(const std::string& aService,
                     const std::string& aKey,
@@ -114,8 +130,21 @@
 std::vector<std::uint64_t>
 KeyLedger::Abandon(const std::string& aService, const std::string& aKey)
 {
-  const auto it = mEntries.find({ aService, aKey });
-  if (it == mEntries.end() || it->second.mState != KeyState::InFlight) {
+  return Forget({ aService, aKey }, false);
+}
+
+std::vector<std::uint64_t>
+KeyLedger::Refuse(const std::string& aService, const std::string& aKey)
+{
+  return Forget({ aService, aKey }, true);
+}
+
+std::vector<std::uint64_t>
+KeyLedger::Forget(const Key& aKey, bool aDispatched)
+{
+  const auto it = mEntries.find(aKey);
+  if (it == mEntries.end() || it->second.mState != KeyState::InFlight ||
+      it->second.mDispatched != aDispatched) {
     return {};
   }
   std::vector<std::uint64_t> waiters = std::move(it->second.mWaiters);
