Add the command bench to papayaway-lab

Cause: build.sh calls "papayaway-lab bench", which did not exist, so no figure of section 1.3 of the design was checked. Change: groups control, latency, moves and platform print one line per measure and write them as JSON. Bounds are those of section 1.3 only. A measurement that fails counts as over its bound.

--- /dev/null
+++ b/tools/papayaway-lab/BenchControl.cpp
@@ -0,0 +1,229 @@
+#include "BenchControl.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+
+#include "BenchStatistics.h"
+
+namespace papayaway {
+
+namespace {
+
+constexpr int kChanges = 10;
+constexpr Millis kBetweenChanges = Seconds(1);
+constexpr Millis kLongest = Seconds(20);
+
+/** Changes a value that every node has to read again. */
+void
+Alter(nlohmann::json& aDocument)
+{
+  auto& deadline = aDocument["routes"][0]["deadline_ms"];
+  deadline = deadline.get<int>() + 1;
+}
+
+std::string
+Prefix(int aNodes)
+{
+  return "control." + std::to_string(aNodes) + ".";
+}
+
+double
+Both(const NodeTotals& aTotals)
+{
+  return aTotals.mControlBytesSent + aTotals.mControlBytesReceived;
+}
+
+} // namespace
+
+void
+BenchControl::AddPoint(int aNodes,
+                       const std::string& aName,
+                       double aValue,
+                       const std::string& aUnit,
+                       std::optional<double> aBound)
+{
+  mReport.Add({ Prefix(aNodes) + aName, aValue, aUnit, aBound });
+  Series& series = mSeries[aName];
+  series.mUnit = aUnit;
+  series.mBound = aBound;
+  series.mPoints.emplace_back(aNodes, aValue);
+}
+
+void
+BenchControl::ReportIdle(int aNodes,
+                         const NodeTotals& aBefore,
+                         const NodeTotals& aAfter)
+{
+  const double seconds = (aAfter.mTime - aBefore.mTime).mCount / 1000;
+  const double nodes = aNodes;
+  mIdleSentPerSecond =
+    (aAfter.mControlBytesSent - aBefore.mControlBytesSent) / seconds;
+  mIdleBothPerSecond = (Both(aAfter) - Both(aBefore)) / seconds;
+  mIdleRemotePerSecond =
+    (aAfter.mRemoteRegionBytes - aBefore.mRemoteRegionBytes) / seconds;
+  AddPoint(aNodes,
+           "idle_bytes_sent_per_node",
+           mIdleSentPerSecond / nodes,
+           "B/s",
+           std::nullopt);
+  AddPoint(aNodes,
+           "idle_bytes_sent_and_received_per_node",
+           mIdleBothPerSecond / nodes,
+           "B/s",
+           stated::kNetworkBytesPerSecond);
+  AddPoint(aNodes,
+           "idle_bytes_to_other_regions",
+           mIdleRemotePerSecond,
+           "B/s",
+           std::nullopt);
+  AddPoint(aNodes,
+           "idle_core_per_node",
+           (aAfter.mCpu - aBefore.mCpu).mCount / 10 / seconds / nodes,
+           "%",
+           stated::kCorePercent);
+  AddPoint(aNodes,
+           "resident_memory_largest",
+           aAfter.mMostResidentBytes,
+           "B",
+           stated::kResidentBytes);
+}
+
+void
+BenchControl::ReportConvergence(const std::string& aPrefix,
+                                const Convergence& aConvergence)
+{
+  const std::vector<double>& times = aConvergence.mTimes;
+  mReport.Add({ aPrefix + "median", Quantile(times, 0.5), "ms", {} });
+  mReport.Add({ aPrefix + "p99", Quantile(times, 0.99), "ms", {} });
+  mReport.Add(
+    { aPrefix + "last", Quantile(times, 1), "ms", stated::kInForce.mCount });
+  mReport.Add({ aPrefix + "missing",
+                static_cast<double>(aConvergence.mMissing),
+                "nodes",
+                0. });
+}
+
+void
+BenchControl::MeasureChanges(Cluster& aCluster,
+                             int aNodes,
+                             nlohmann::json aDocument,
+                             std::uint64_t& aVersion)
+{
+  const std::vector<std::string> nodes = RunningNodes(aCluster);
+  const NodeTotals before = ReadTotals(aCluster);
+  std::vector<std::uint64_t> versions;
+  for (int i = 0; i < kChanges; ++i) {
+    Alter(aDocument);
+    // 7 is coprime to 4, so the promotions start in all data centres.
+    const std::string& node =
+      nodes[static_cast<std::size_t>(i) * 7 % nodes.size()];
+    const auto version = aCluster.Promote(node, aDocument, aVersion);
+    if (!version) {
+      throw std::runtime_error("the promotion through " + node +
+                               " was not accepted");
+    }
+    aVersion = *version;
+    versions.push_back(aVersion);
+    aCluster.RunFor(kBetweenChanges);
+  }
+  WaitForVersion(aCluster, aVersion, kLongest);
+  const NodeTotals after = ReadTotals(aCluster);
+  ReportConvergence(Prefix(aNodes) + "convergence_",
+                    ReadConvergence(aCluster, versions));
+
+  const double seconds = (after.mTime - before.mTime).mCount / 1000;
+  const auto perChange = [&](double aBytes, double aIdlePerSecond) {
+    return (aBytes - aIdlePerSecond * seconds) / kChanges;
+  };
+  const double both =
+    perChange(Both(after) - Both(before), mIdleBothPerSecond) / aNodes;
+  AddPoint(aNodes,
+           "change_bytes_sent_per_node",
+           perChange(after.mControlBytesSent - before.mControlBytesSent,
+                     mIdleSentPerSecond) /
+             aNodes,
+           "B",
+           std::nullopt);
+  AddPoint(aNodes,
+           "change_bytes_to_other_regions",
+           perChange(after.mRemoteRegionBytes - before.mRemoteRegionBytes,
+                     mIdleRemotePerSecond),
+           "B",
+           std::nullopt);
+  AddPoint(aNodes,
+           "bytes_per_node_at_4700_changes_a_day",
+           mIdleBothPerSecond / aNodes + both * stated::kChangesPerSecond,
+           "B/s",
+           stated::kNetworkBytesPerSecond);
+}
+
+void
+BenchControl::MeasureFailures(Cluster& aCluster,
+                              int aNodes,
+                              nlohmann::json aDocument,
+                              std::uint64_t& aVersion)
+{
+  const std::vector<std::string> nodes = RunningNodes(aCluster);
+  // UniformPlans() gives node i data centre i modulo 4; dc-1 is in another
+  // region than the promoting node, so the change has to pass its relay.
+  const std::string& promoter = nodes.front();
+  const auto [status, body] = aCluster.Admin(promoter, "GET", "/v1/status");
+  const std::string relay = body["relay"].value("dc-1", "");
+  if (relay.empty()) {
+    throw std::runtime_error("no relay of dc-1 is known");
+  }
+  aDocument["routes"][0]["deadline_ms"] = 2000;
+  aCluster.NodeProcess(relay).Kill();
+  auto version = aCluster.Promote(promoter, aDocument, aVersion);
+  if (!version) {
+    throw std::runtime_error("the promotion after the kill failed");
+  }
+  aVersion = *version;
+  WaitForVersion(aCluster, aVersion, kLongest);
+  ReportConvergence(Prefix(aNodes) + "convergence_relay_killed_",
+                    ReadConvergence(aCluster, aVersion));
+
+  Alter(aDocument);
+  const std::vector<std::string> left = RunningNodes(aCluster);
+  version = aCluster.Promote(promoter, aDocument, aVersion);
+  const std::int64_t promoted = WallNow().Whole();
+  for (std::size_t i = 1; i < left.size(); i += 3) {
+    aCluster.NodeProcess(left[i]).Signal(SIGKILL);
+  }
+  for (std::size_t i = 1; i < left.size(); i += 3) {
+    aCluster.NodeProcess(left[i]).Kill();
+  }
+  if (!version) {
+    throw std::runtime_error("the promotion before the kills failed");
+  }
+  aVersion = *version;
+  WaitForVersion(aCluster, aVersion, kLongest);
+  Convergence survivors = ReadConvergence(aCluster, aVersion, promoted);
+  // A node may apply the document before the lab has read the answer.
+  for (double& time : survivors.mTimes) {
+    time = std::max(time, 0.);
+  }
+  ReportConvergence(Prefix(aNodes) + "convergence_third_killed_", survivors);
+}
+
+void
+BenchControl::ReportSlopes()
+{
+  for (const auto& [name, series] : mSeries) {
+    if (series.mPoints.size() < 2) {
+      continue;
+    }
+    const Line line = FitLine(series.mPoints);
+    mReport.Add({ "control.slope." + name,
+                  line.mSlope,
+                  series.mUnit + "/node",
+                  std::nullopt });
+    mReport.Add({ "control.at_900." + name,
+                  line.At(stated::kNodes),
+                  series.mUnit,
+                  series.mBound });
+  }
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/tools/papayaway-lab/BenchReport.cpp
@@ -0,0 +1,71 @@
+#include "BenchReport.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace papayaway {
+
+namespace {
+
+std::string
+Format(double aValue)
+{
+  std::ostringstream text;
+  text.precision(4);
+  text << aValue;
+  return text.str();
+}
+
+} // namespace
+
+void
+BenchReport::Comment(const std::string& aText)
+{
+  std::cout << "# " << aText << std::endl;
+}
+
+void
+BenchReport::Add(Measure aMeasure)
+{
+  const bool isOver = aMeasure.IsOver();
+  mOver += isOver ? 1 : 0;
+  std::cout << aMeasure.mName << " " << Format(aMeasure.mValue) << " "
+            << aMeasure.mUnit << " "
+            << (aMeasure.mBound ? Format(*aMeasure.mBound) : "-") << " "
+            << (isOver ? "over" : "ok") << std::endl;
+  mMeasures.push_back(std::move(aMeasure));
+}
+
+void
+BenchReport::WriteJson(const std::string& aPath) const
+{
+  nlohmann::json measures = nlohmann::json::array();
+  for (const Measure& measure : mMeasures) {
+    measures.push_back({ { "name", measure.mName },
+                         { "value", measure.mValue },
+                         { "unit", measure.mUnit },
+                         { "bound", nullptr },
+                         { "over", measure.IsOver() } });
+    if (measure.mBound) {
+      measures.back()["bound"] = *measure.mBound;
+    }
+  }
+  const std::filesystem::path folder =
+    std::filesystem::path(aPath).parent_path();
+  if (!folder.empty()) {
+    std::filesystem::create_directories(folder);
+  }
+  std::ofstream file(aPath);
+  file << nlohmann::json{ { "measures", measures }, { "over", mOver } }.dump(1)
+       << "\n";
+  if (!file.flush()) {
+    throw std::runtime_error("can't write " + aPath);
+  }
+}
+
+} // namespace papayaway
--- a/tools/papayaway-lab/Main.cpp
+++ b/tools/papayaway-lab/Main.cpp
@@ -1,10 +1,16 @@
+#include <algorithm>
 #include <exception>
 #include <iostream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <boost/program_options.hpp>
 #include <curl/curl.h>
 
+#include "Bench.h"
 #include "Checks.h"
 #include "Demo.h"
 
@@ -12,18 +18,93 @@
 
 namespace options = boost::program_options;
 
+constexpr int kLargestSize = 200;
+const std::set<std::string> kGroups{ "control",
+                                     "latency",
+                                     "moves",
+                                     "platform" };
+
+std::vector<std::string>
+SplitAtCommas(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream text(aText);
+  for (std::string part; std::getline(text, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+/** Throws std::invalid_argument for groups and sizes that do not exist. */
+papayaway::BenchOptions
+ReadBenchOptions(const options::variables_map& aValues)
+{
+  papayaway::BenchOptions bench{ .mPrograms = aValues["bin"].as<std::string>(),
+                                 .mJsonFile =
+                                   aValues["json"].as<std::string>() };
+  for (const std::string& group :
+       SplitAtCommas(aValues["only"].as<std::string>())) {
+    if (!kGroups.contains(group)) {
+      throw std::invalid_argument("unknown group \"" + group + "\"");
+    }
+    bench.mGroups.insert(group);
+  }
+  if (bench.mGroups.empty()) {
+    bench.mGroups = kGroups;
+  }
+  for (const std::string& size :
+       SplitAtCommas(aValues["sizes"].as<std::string>())) {
+    const bool isNumber =
+      !size.empty() && size.size() <= 3 &&
+      std::all_of(size.begin(), size.end(), [](char aDigit) {
+        return aDigit >= '0' && aDigit <= '9';
+      });
+    const int nodes = isNumber ? std::stoi(size) : 0;
+    if (nodes < 12 || nodes > kLargestSize) {
+      throw std::invalid_argument("a size must be from 12 to " +
+                                  std::to_string(kLargestSize) + ", not \"" +
+                                  size + "\"");
+    }
+    bench.mSizes.push_back(nodes);
+  }
+  if (bench.mSizes.empty()) {
+    throw std::invalid_argument("--sizes names no size");
+  }
+  return bench;
+}
+
+int
+Bench(const options::variables_map& aValues)
+{
+  try {
+    return papayaway::RunBench(ReadBenchOptions(aValues)) == 0 ? 0 : 1;
+  } catch (const std::invalid_argument& error) {
+    std::cerr << "papayaway-lab: " << error.what() << "\n";
+    return 2;
+  }
+}
+
 int
 Main(int aCount, char** aArguments)
 {
   options::options_description description("Options");
   description.add_options()("help", "print this text")(
-    "command", options::value<std::string>(), "demo")(
+    "command", options::value<std::string>(), "demo or bench")(
     "bin",
     options::value<std::string>()->default_value("build/release/bin"),
     "the folder of the programs")(
     "samples",
     options::value<std::string>()->default_value("samples"),
-    "the folder of the sample documents");
+    "the folder of the sample documents")(
+    "only",
+    options::value<std::string>()->default_value(""),
+    "groups of the bench: control,latency,moves,platform")(
+    "sizes",
+    options::value<std::string>()->default_value("25,50,100"),
+    "numbers of nodes in the bench")(
+    "json",
+    options::value<std::string>()->default_value("build/bench.json"),
+    "the file for the measures of the bench");
   options::positional_options_description positions;
   positions.add("command", 1);
   options::variables_map values;
@@ -38,12 +119,15 @@
     return 2;
   }
   if (values.count("help") != 0 || values.count("command") == 0) {
-    std::cout << "Usage: papayaway-lab demo [options]\n\n" << description;
+    std::cout << "Usage: papayaway-lab demo|bench [options]\n\n" << description;
     return values.count("help") != 0 ? 0 : 2;
   }
   const auto command = values["command"].as<std::string>();
   const auto programs = values["bin"].as<std::string>();
   const auto samples = values["samples"].as<std::string>();
+  if (command == "bench") {
+    return Bench(values);
+  }
   papayaway::Checks checks;
   if (command == "demo") {
     papayaway::RunDemo(programs, samples, checks);
@@ -51,8 +135,8 @@
     std::cerr << "papayaway-lab: unknown command " << command << "\n";
     return 2;
   }
-  std::cout << checks.Made() - checks.Failed() << " passed, "
-            << checks.Failed() << " failed" << std::endl;
+  std::cout << checks.Made() - checks.Failed() << " passed, " << checks.Failed()
+            << " failed" << std::endl;
   return checks.Failed() == 0 ? 0 : 1;
 }
 
