--- a/tools/papayaway-lab/BenchControl.cpp
+++ b/tools/papayaway-lab/BenchControl.cpp
@@ -181,8 +181,12 @@
   }
   aVersion = *version;
   WaitForVersion(aCluster, aVersion, kLongest);
-  ReportConvergence(Prefix(aNodes) + "convergence_relay_killed_",
-                    ReadConvergence(aCluster, aVersion));
+  const Convergence others = ReadConvergence(aCluster, aVersion);
+  if (!others.mLastNode.empty()) {
+    mReport.Comment("relay of dc-1 killed; the last node is in " +
+                    aCluster.Plan(others.mLastNode).mDataCentre);
+  }
+  ReportConvergence(Prefix(aNodes) + "convergence_relay_killed_", others);
 
   Alter(aDocument);
   const std::vector<std::string> left = RunningNodes(aCluster);
--- a/tools/papayaway-lab/BenchReport.cpp
+++ b/tools/papayaway-lab/BenchReport.cpp
@@ -1,7 +1,9 @@
 #include "BenchReport.h"
 
+#include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
@@ -16,7 +18,11 @@
 Format(double aValue)
 {
   std::ostringstream text;
-  text.precision(4);
+  if (std::abs(aValue) >= 1000) {
+    text << std::fixed << std::setprecision(0);
+  } else {
+    text << std::setprecision(4);
+  }
   text << aValue;
   return text.str();
 }
--- a/tools/papayaway-lab/BenchSampling.cpp
+++ b/tools/papayaway-lab/BenchSampling.cpp
@@ -50,7 +50,13 @@
     if (applied == 0 || promoted == 0) {
       ++result.mMissing;
     } else {
-      result.mTimes.push_back(static_cast<double>(applied - promoted));
+      const auto time = static_cast<double>(applied - promoted);
+      if (std::all_of(result.mTimes.begin(),
+                      result.mTimes.end(),
+                      [&](double aOther) { return aOther <= time; })) {
+        result.mLastNode = node;
+      }
+      result.mTimes.push_back(time);
     }
   }
   return result;
--- a/tools/papayaway-lab/BenchSampling.h
+++ b/tools/papayaway-lab/BenchSampling.h
@@ -43,6 +43,8 @@
   std::vector<double> mTimes;
   /** Running nodes without the version. */
   int mMissing = 0;
+  /** The node that applied it last. */
+  std::string mLastNode;
 };
 
 /** Reads from the timelines when a version came into force. All processes
