Limit the seeds that the lab gives to a node

Cause: with more than 12 nodes in a data centre the line 'seeds' became longer than the 199 bytes that libinih reads, and node n48 ended with 'the line is longer than 199 bytes'. Change: a node gets at most 8 seeds, which is enough to join.

--- a/libs/lab/src/Cluster.cpp
+++ b/libs/lab/src/Cluster.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Millis kWaitPeriod{ 20 };
+/** A line of settings holds at most 199 bytes; 12 addresses take more. */
+constexpr int kMaxSeeds = 8;
 
 ChildProcess
 StartOrThrow(const ChildOptions& aOptions)
@@ -77,8 +79,12 @@
        << "\n[peers]\nkey = " << mOptions.mPeerKey;
   // Seeds let a node join while the platform is down.
   std::string seeds;
+  int count = 0;
   for (const auto& [name, node] : mNodes) {
-    if (mPlans.at(name).mDataCentre == aPlan.mDataCentre && name != aPlan.mName) {
+    if (count < kMaxSeeds &&
+        mPlans.at(name).mDataCentre == aPlan.mDataCentre &&
+        name != aPlan.mName) {
+      ++count;
       seeds += (seeds.empty() ? "" : ", ") + node.Address("peer");
     }
   }
