Add failure tests of the daemon with real processes

Cause: the invariants of the design were proved by unit and property tests only; nothing ran the daemon while processes die, pause or are cut off.

--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -1,9 +1,13 @@
-# papayaway_library(NAME DEPENDS targets...)
+# papayaway_library(NAME DEPENDS targets... [TEST_DEPENDS targets...]
+#                   [TEST_PROGRAMS targets...])
 #
 # Declares the static library of libs/NAME from src/*.cpp, its test program
-# from tests/*.cpp and its benchmark program from benchmark/*.cpp.
+# from tests/*.cpp and its benchmark program from benchmark/*.cpp. Tests of a
+# library with TEST_PROGRAMS start these programs from the folder
+# PAPAYAWAY_PROGRAM_DIR; they measure times, so ctest runs nothing beside them.
 function(papayaway_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS;TEST_PROGRAMS"
+    ${ARGN})
   set(dir ${CMAKE_CURRENT_SOURCE_DIR}/${name})
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/src/*.cpp)
   if(sources)
@@ -24,8 +28,15 @@
     target_include_directories(test_${name} PRIVATE ${dir}/src)
     target_compile_definitions(test_${name} PRIVATE
       PAPAYAWAY_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    set(properties TIMEOUT 240)
+    if(ARG_TEST_PROGRAMS)
+      add_dependencies(test_${name} ${ARG_TEST_PROGRAMS})
+      target_compile_definitions(test_${name} PRIVATE
+        PAPAYAWAY_PROGRAM_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+      list(APPEND properties RUN_SERIAL TRUE)
+    endif()
     gtest_discover_tests(test_${name} TEST_PREFIX "${name}."
-      DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 240)
+      DISCOVERY_TIMEOUT 60 PROPERTIES ${properties})
   endif()
 
   file(GLOB benchmarks CONFIGURE_DEPENDS ${dir}/benchmark/*.cpp)
--- /dev/null
+++ b/libs/node/tests/CallFailureTest.cpp
@@ -0,0 +1,177 @@
+#include <map>
+
+#include "ClusterTest.h"
+#include "RawTarget.h"
+
+namespace papayaway {
+namespace {
+
+class CallFailure : public ClusterTest
+{
+protected:
+  /** Sends a bid without waiting for its answer. */
+  void SendBid(const std::string& aNode,
+               const std::string& aKey,
+               std::vector<HttpResult>& aResults)
+  {
+    ++mSent;
+    mCluster.Client().Send(
+      { .mAddress = mCluster.NodeProcess(aNode).Address("caller"),
+        .mRequest = { .mMethod = "POST",
+                      .mPath = "/bids/lot-7",
+                      .mHeaders = { { "Idempotency-Key", aKey } },
+                      .mBody = "bid" },
+        .mTimeout = kGenerous,
+        .mIdempotent = false },
+      [this, &aResults](HttpResult aResult) {
+        ++mEnded;
+        aResults.push_back(std::move(aResult));
+      });
+  }
+
+  [[nodiscard]] bool WaitForAnswers()
+  {
+    return mCluster.WaitUntil([this] { return mEnded == mSent; }).has_value();
+  }
+
+  std::size_t mSent = 0;
+  std::size_t mEnded = 0;
+};
+
+// Guards invariants 6 and 7 when a request crashes its target and its caller
+// sends it again: the answer is "unknown", and the node beside the target does
+// not run the key a second time.
+TEST_F(CallFailure, CrashDuringBidIsUnknownAndNotRepeated)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(3, 1);
+  plans.back().mTargetArguments = { "--crash-on", "crash-now" };
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  const HttpResult crashed = Bid("ledger-0", "key-1", "crash-now");
+  EXPECT_EQ(crashed.mResponse.mStatus, 502) << crashed.mResponse.mBody;
+  EXPECT_EQ(OutcomeOf(crashed), "unknown");
+  ASSERT_TRUE(mCluster.WaitUntil(
+    [&] { return !mCluster.TargetProcess("hammer-0").IsRunning(); }));
+  // The next process of the target does not crash, so a second run would be
+  // counted.
+  NodePlan next = mCluster.Plan("hammer-0");
+  next.mTargetArguments.clear();
+  mCluster.StartTarget(next);
+  ASSERT_TRUE(mCluster.WaitUntil(
+    [&] { return Bid("ledger-0", "key-2").mResponse.mStatus == 200; }));
+  for (const std::string& node : mCluster.NodeNames()) {
+    const HttpResult again = Bid(node, "key-1", "crash-now");
+    EXPECT_EQ(OutcomeOf(again), "unknown") << node;
+  }
+  const auto stats = Stats("hammer-0");
+  EXPECT_FALSE(stats["keys"].contains("key-1")) << stats;
+  EXPECT_EQ(stats["keys"].value("key-2", 0), 1) << stats;
+}
+
+// Guards invariants 5 and 7 when a caller sends a request again while the
+// first one still runs, through another node.
+TEST_F(CallFailure, KeySentTwiceAtOnceRunsOnce)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(2, 3);
+  for (NodePlan& plan : plans) {
+    plan.mTargetArguments = { "--work-ms", "50" };
+  }
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  constexpr int kKeys = 30;
+  std::map<std::string, std::vector<HttpResult>> results;
+  for (int i = 0; i < kKeys; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    SendBid("ledger-0", key, results[key]);
+    SendBid("ledger-1", key, results[key]);
+  }
+  ASSERT_TRUE(WaitForAnswers());
+  std::map<std::string, int> runs;
+  for (const char* const node : { "hammer-0", "hammer-1", "hammer-2" }) {
+    const auto stats = Stats(node);
+    for (const auto& [key, count] : stats["keys"].items()) {
+      runs[key] += count.get<int>();
+    }
+  }
+  for (const auto& [key, answers] : results) {
+    EXPECT_EQ(runs[key], 1) << key;
+    for (const HttpResult& answer : answers) {
+      EXPECT_EQ(answer.mResponse.mStatus, 200) << answer.mResponse.mBody;
+      const auto body =
+        nlohmann::json::parse(answer.mResponse.mBody, nullptr, false);
+      EXPECT_EQ(body["key"], key);
+    }
+  }
+}
+
+// Guards invariant 6 when a target sheds load: a refusal that says "not-run"
+// must be true, and the request must be able to run later.
+TEST_F(CallFailure, ShedCallsDidNotRun)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(2, 1);
+  plans.back().mSlots = 1;
+  plans.back().mTargetArguments = { "--work-ms", "100" };
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  // Other callers of the target make it shed by itself, beyond what the node
+  // refuses.
+  constexpr int kCalls = 30;
+  const std::string target = mCluster.TargetProcess("hammer-0").Address("http");
+  std::vector<HttpResult> direct;
+  std::map<std::string, std::vector<HttpResult>> results;
+  for (int i = 0; i < kCalls; ++i) {
+    ++mSent;
+    mCluster.Client().Send(
+      { .mAddress = target, .mRequest = { .mPath = "/lots" } },
+      [&](HttpResult aResult) {
+        ++mEnded;
+        direct.push_back(std::move(aResult));
+      });
+    const std::string key = "key-" + std::to_string(i);
+    SendBid("ledger-" + std::to_string(i % 2), key, results[key]);
+  }
+  ASSERT_TRUE(WaitForAnswers());
+  const auto stats = Stats("hammer-0");
+  EXPECT_GT(stats["shed"].get<int>(), 0) << stats;
+  std::string refused;
+  for (const auto& [key, answers] : results) {
+    const HttpResult& answer = answers.front();
+    if (answer.mResponse.mStatus == 200) {
+      EXPECT_EQ(stats["keys"].value(key, 0), 1) << key;
+      continue;
+    }
+    refused = key;
+    EXPECT_EQ(answer.mResponse.mStatus, 503) << answer.mResponse.mBody;
+    EXPECT_EQ(OutcomeOf(answer), "not-run") << answer.mResponse.mBody;
+    EXPECT_FALSE(stats["keys"].contains(key)) << key;
+  }
+  ASSERT_FALSE(refused.empty());
+  EXPECT_EQ(Bid("ledger-0", refused).mResponse.mStatus, 200);
+  EXPECT_EQ(Stats("hammer-0")["keys"].value(refused, 0), 1);
+}
+
+// Guards invariants 5 and 7 when a target dies while it sends an answer: a
+// part of an answer must not reach the caller as the whole.
+TEST_F(CallFailure, CutAnswerIsNotPassedOn)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(2, 0);
+  plans.push_back(
+    { .mName = "raw", .mDataCentre = "nbo-1", .mRegion = "nairobi" });
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  RawTarget target(mCluster,
+                   "raw",
+                   "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                   "Content-Length: 1000\r\n\r\n{\"partial\":");
+  target.Announce("hammer");
+  ASSERT_TRUE(WaitForReady(mCluster.NodeNames(), 3));
+  const HttpResult bid = Bid("ledger-1", "key-1");
+  EXPECT_EQ(bid.mResponse.mStatus, 502) << bid.mResponse.mBody;
+  EXPECT_EQ(OutcomeOf(bid), "unknown");
+  EXPECT_EQ(bid.mResponse.mBody.find("partial"), std::string::npos);
+  EXPECT_EQ(target.Requests(), 1);
+  const HttpResult read =
+    mCluster.CallThrough("ledger-1", { .mPath = "/bids/lot-7" }, kGenerous);
+  EXPECT_EQ(read.mResponse.mStatus, 502) << read.mResponse.mBody;
+  EXPECT_EQ(read.mResponse.mBody.find("partial"), std::string::npos);
+  EXPECT_GT(target.Requests(), 1);
+}
+
+} // namespace
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/tests/DocumentFailureTest.cpp
@@ -0,0 +1,164 @@
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "ClusterTest.h"
+
+namespace papayaway {
+namespace {
+
+class DocumentFailure : public ClusterTest
+{
+protected:
+  /** @return the relay of a data centre as aNode knows it, or "". */
+  std::string Relay(const std::string& aNode, const std::string& aDataCentre)
+  {
+    return Report(aNode, "/v1/status")["relay"].value(aDataCentre, "");
+  }
+
+  /** Waits until aNode knows the relay of nbo-2. */
+  std::string WaitForRelay(const std::string& aNode)
+  {
+    mCluster.WaitUntil([&] { return !Relay(aNode, "nbo-2").empty(); });
+    return Relay(aNode, "nbo-2");
+  }
+};
+
+// Guards invariant 10 when many processes fail at once: the relay of the
+// other data centre dies just before a promotion.
+TEST_F(DocumentFailure, InForceWhenRelayDies)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(8, 0), Changed(500)));
+  const std::string relay = WaitForRelay("ledger-0");
+  ASSERT_FALSE(relay.empty());
+  mCluster.NodeProcess(relay).Kill();
+  const auto [status, body] = Promote("ledger-0", Changed(600), mVersion);
+  ASSERT_EQ(status, 200) << body;
+  const auto time =
+    WaitForVersion(AllBut({ relay }), body["version"].get<std::uint64_t>());
+  ASSERT_TRUE(time);
+  EXPECT_LT(time->mCount, kInForce.mCount);
+}
+
+// Guards invariant 10 when many processes fail at once: a third of the nodes
+// dies right after a promotion, while it spreads.
+TEST_F(DocumentFailure, InForceWhenThirdOfNodesDies)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(8, 0), Changed(500)));
+  const std::string relay = WaitForRelay("ledger-0");
+  Names victims{ "ledger-2", "ledger-3", "ledger-4" };
+  // The death of a relay is a test of its own.
+  std::replace(victims.begin(), victims.end(), relay, std::string("ledger-5"));
+  const auto [status, body] = Promote("ledger-0", Changed(600), mVersion);
+  for (const std::string& victim : victims) {
+    mCluster.NodeProcess(victim).Kill();
+  }
+  ASSERT_EQ(status, 200) << body;
+  const auto time =
+    WaitForVersion(AllBut(victims), body["version"].get<std::uint64_t>());
+  ASSERT_TRUE(time);
+  EXPECT_LT(time->mCount, kInForce.mCount);
+}
+
+// Guards invariants 1 and 10 when updates cross each other in transit: a node
+// that was paused during two promotions receives old and new ones together.
+TEST_F(DocumentFailure, PausedNodeCatchesUp)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(6, 0), Changed(500)));
+  const std::string paused = "ledger-2";
+  mCluster.NodeProcess(paused).Signal(SIGSTOP);
+  std::uint64_t version = mVersion;
+  for (const int deadline : { 600, 700 }) {
+    const auto [status, body] = Promote("ledger-0", Changed(deadline), version);
+    ASSERT_EQ(status, 200) << body;
+    version = body["version"].get<std::uint64_t>();
+    ASSERT_TRUE(WaitForVersion(AllBut({ paused }), version));
+  }
+  mCluster.NodeProcess(paused).Signal(SIGCONT);
+  EXPECT_TRUE(WaitForVersion({ paused }, version));
+  for (const std::string& node : mCluster.NodeNames()) {
+    const auto applied = AppliedVersions(node);
+    EXPECT_TRUE(std::is_sorted(applied.begin(), applied.end())) << node;
+    EXPECT_EQ(applied.back(), version) << node;
+  }
+}
+
+// Guards invariants 1 and 10 when operators race on the same document: the
+// loser must learn of the winner and must not replace it.
+TEST_F(DocumentFailure, OneOfTwoOperatorsWins)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(4, 0), Changed(500)));
+  std::vector<HttpResult> results;
+  const std::vector<nlohmann::json> documents{ Changed(600), Changed(700) };
+  for (std::size_t i = 0; i < documents.size(); ++i) {
+    HttpCall call{
+      .mAddress =
+        mCluster.NodeProcess("ledger-" + std::to_string(i)).Address("admin"),
+      .mRequest = { .mMethod = "POST", .mPath = "/v1/promote" },
+      .mTimeout = kGenerous
+    };
+    call.mRequest.mHeaders.Add("Authorization",
+                               "Bearer " + mCluster.Options().mOperatorToken);
+    call.mRequest.mBody = nlohmann::json{
+      { "parent", mVersion }, { "document", documents[i] }
+    }.dump();
+    mCluster.Client().Send(std::move(call), [&](HttpResult aResult) {
+      results.push_back(std::move(aResult));
+    });
+  }
+  ASSERT_TRUE(mCluster.WaitUntil([&] { return results.size() == 2; }));
+  std::sort(
+    results.begin(), results.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mResponse.mStatus < aRight.mResponse.mStatus;
+    });
+  ASSERT_EQ(results[0].mResponse.mStatus, 200) << results[0].mResponse.mBody;
+  ASSERT_EQ(results[1].mResponse.mStatus, 409) << results[1].mResponse.mBody;
+  const auto winner = nlohmann::json::parse(results[0].mResponse.mBody);
+  const auto loser = nlohmann::json::parse(results[1].mResponse.mBody);
+  EXPECT_EQ(loser["version"], winner["version"]);
+  const auto version = winner["version"].get<std::uint64_t>();
+  ASSERT_TRUE(WaitForVersion(mCluster.NodeNames(), version));
+  const auto inForce = Report("ledger-3", "/v1/document");
+  EXPECT_EQ(loser["document"], inForce["document"]);
+}
+
+// Guards invariant 10 when the platform's reply is lost after the write took
+// effect: the operator must not be told that an accepted document failed.
+TEST_F(DocumentFailure, LostReplyStillTellsOutcome)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(4, 0), Changed(500)));
+  // Leases are renewed by writes too; enough replies are lost that the one
+  // of the promotion is among them.
+  mCluster.SetPlatformFaults({ { "lose_replies", 20 } });
+  const auto [status, body] = Promote("ledger-0", Changed(600), mVersion);
+  mCluster.SetPlatformFaults({ { "lose_replies", 0 } });
+  ASSERT_EQ(status, 200) << body;
+  const auto version = body["version"].get<std::uint64_t>();
+  EXPECT_GT(version, mVersion);
+  EXPECT_TRUE(WaitForVersion(mCluster.NodeNames(), version));
+}
+
+// Guards invariants 2 and 3 when a new version of the document is bad: it
+// must be refused as a whole, with all findings, and change no node.
+TEST_F(DocumentFailure, FaultyDocumentChangesNothing)
+{
+  ASSERT_NO_FATAL_FAILURE(Begin(TwoDataCentres(4, 0), Changed(500)));
+  nlohmann::json faulty = Changed(600);
+  faulty["routes"][0]["service"] = "unknown";
+  faulty["routes"][1]["deadline_ms"] = 0;
+  faulty["services"][0]["versions"][0]["share"] = 999;
+  const auto [status, body] = Promote("ledger-0", faulty, mVersion);
+  EXPECT_EQ(status, 422) << body;
+  EXPECT_EQ(body["findings"].size(), 3U) << body;
+  const auto [next, accepted] = Promote("ledger-1", Changed(700), mVersion);
+  ASSERT_EQ(next, 200) << accepted;
+  const auto version = accepted["version"].get<std::uint64_t>();
+  ASSERT_TRUE(WaitForVersion(mCluster.NodeNames(), version));
+  const std::vector<std::uint64_t> expected{ mVersion, version };
+  for (const std::string& node : mCluster.NodeNames()) {
+    EXPECT_EQ(AppliedVersions(node), expected) << node;
+  }
+}
+
+} // namespace
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/tests/MembershipFailureTest.cpp
@@ -0,0 +1,204 @@
+#include <csignal>
+#include <map>
+
+#include "ClusterTest.h"
+
+namespace papayaway {
+namespace {
+
+/** The time between two calls of the steady stream. */
+constexpr Millis kCallPeriod{ 10 };
+
+class MembershipFailure : public ClusterTest
+{
+protected:
+  /** Sends reads and bids in turn through aNodes until StopStream(). */
+  void StartStream(const Names& aNodes)
+  {
+    mEntries = aNodes;
+    mSender.StartRepeating(kCallPeriod);
+  }
+
+  /** Waits until every call is answered; sends each that was refused as not
+   *  run once more through aAgain. */
+  void StopStream(const std::string& aAgain)
+  {
+    mSender.Stop();
+    ASSERT_TRUE(mCluster.WaitUntil([&] { return mAnswers.size() == mSent; }));
+    for (const auto& [number, result] : mAnswers) {
+      if (result.mResponse.mStatus == 200) {
+        continue;
+      }
+      const bool notRun = result.mFailure == HttpFailure::None
+                            ? OutcomeOf(result) == "not-run"
+                            : !result.mMayHaveRun;
+      EXPECT_TRUE(notRun) << "call " << number
+                          << " was cut off: " << result.mResponse.mStatus << " "
+                          << result.mResponse.mBody << result.mError;
+      const HttpResult again =
+        mCluster.CallThrough(aAgain, RequestOf(number), kGenerous);
+      EXPECT_EQ(again.mResponse.mStatus, 200) << again.mResponse.mBody;
+    }
+  }
+
+  [[nodiscard]] std::size_t Answered() const { return mAnswers.size(); }
+
+  static HttpRequest RequestOf(std::size_t aNumber)
+  {
+    const std::string text = std::to_string(aNumber);
+    if (aNumber % 2 == 0) {
+      return { .mPath = "/lots/" + text };
+    }
+    return { .mMethod = "POST",
+             .mPath = "/bids/lot-7",
+             .mHeaders = { { "Idempotency-Key", "stream-" + text } },
+             .mBody = text };
+  }
+
+private:
+  void SendNext()
+  {
+    const std::size_t number = mSent++;
+    const std::string& node = mEntries[number / 2 % mEntries.size()];
+    mCluster.Client().Send(
+      { .mAddress = mCluster.NodeProcess(node).Address("caller"),
+        .mRequest = RequestOf(number),
+        .mTimeout = kGenerous,
+        .mIdempotent = number % 2 == 0 },
+      [this, number](HttpResult aResult) {
+        mAnswers[number] = std::move(aResult);
+      });
+  }
+
+  Names mEntries;
+  std::size_t mSent = 0;
+  std::map<std::size_t, HttpResult> mAnswers;
+  Timer mSender{ mCluster.Loop(), [this] { SendNext(); } };
+};
+
+// Guards invariant 8 when a process is paused: the others must notice within
+// a few seconds, and the node must return by a higher incarnation.
+TEST_F(MembershipFailure, PausedNodeIsDeadThenAliveAgain)
+{
+  ASSERT_NO_FATAL_FAILURE(
+    Begin(TwoDataCentres(6, 0), PatientSample("rafiki.json")));
+  const std::string paused = "ledger-2";
+  const Names others = AllBut({ paused });
+  const auto before =
+    Member("ledger-0", paused)["incarnation"].get<std::uint64_t>();
+  mCluster.NodeProcess(paused).Signal(SIGSTOP);
+  const auto time = WaitForMember(others, paused, "dead");
+  ASSERT_TRUE(time);
+  EXPECT_LT(time->mCount, kFewSeconds.mCount);
+  mCluster.NodeProcess(paused).Signal(SIGCONT);
+  ASSERT_TRUE(WaitForMember(mCluster.NodeNames(), paused, "alive"));
+  for (const std::string& node : mCluster.NodeNames()) {
+    EXPECT_GT(Member(node, paused)["incarnation"].get<std::uint64_t>(), before)
+      << node;
+  }
+}
+
+// Guards invariant 2 when a process is paused: on waking it has heard nobody
+// for long, and must not declare its live neighbours dead.
+TEST_F(MembershipFailure, PausedNeighbourRemovesNobody)
+{
+  ASSERT_NO_FATAL_FAILURE(
+    Begin(TwoDataCentres(6, 0), PatientSample("rafiki.json")));
+  const std::string paused = "ledger-2";
+  const Names others = AllBut({ paused });
+  mCluster.NodeProcess(paused).Signal(SIGSTOP);
+  ASSERT_TRUE(WaitForMember(others, paused, "dead"));
+  mCluster.NodeProcess(paused).Signal(SIGCONT);
+  ASSERT_TRUE(WaitForMember(mCluster.NodeNames(), paused, "alive"));
+  for (const std::string& node : mCluster.NodeNames()) {
+    const auto timeline = Report(node, "/v1/timeline");
+    for (const auto& event : timeline["events"]) {
+      const std::string text = event["text"];
+      if (event["kind"] == "member-changed" && !text.starts_with(paused)) {
+        EXPECT_TRUE(text.ends_with(" is alive")) << node << ": " << text;
+      }
+    }
+  }
+}
+
+// Guards invariants 2 and 8 when a target dies: after a few seconds it gets
+// no calls, and callers of idempotent routes notice nothing.
+TEST_F(MembershipFailure, KilledTargetGetsNoCalls)
+{
+  ASSERT_NO_FATAL_FAILURE(
+    Begin(TwoDataCentres(5, 0), PatientSample("rafiki.json")));
+  const std::string victim = "ledger-2";
+  mCluster.TargetProcess(victim).Kill();
+  const auto time = WaitForReady(mCluster.NodeNames(), 4);
+  ASSERT_TRUE(time);
+  EXPECT_LT(time->mCount, kFewSeconds.mCount);
+  const double before = mCluster.Metric(victim, "papayaway_served_total");
+  for (int i = 0; i < 100; ++i) {
+    const std::string path = "/lots/" + std::to_string(i);
+    for (const std::string& node : mCluster.NodeNames()) {
+      const HttpResult result =
+        mCluster.CallThrough(node, { .mPath = path }, kGenerous);
+      EXPECT_EQ(result.mResponse.mStatus, 200) << result.mResponse.mBody;
+    }
+  }
+  EXPECT_EQ(mCluster.Metric(victim, "papayaway_served_total"), before);
+}
+
+// Guards invariants 6 and 9 when a node stops on purpose under load: no call
+// that it serves may be cut off.
+TEST_F(MembershipFailure, StoppedNodeCutsOffNoCall)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(3, 3);
+  for (NodePlan& plan : plans) {
+    plan.mTargetArguments = { "--work-ms", "40" };
+  }
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  const Names stopped{ "ledger-1", "hammer-1" };
+  StartStream(AllBut(stopped));
+  ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > 100; }));
+  for (const std::string& node : stopped) {
+    EXPECT_GT(mCluster.Metric(node, "papayaway_served_total"), 0) << node;
+    mCluster.NodeProcess(node).Signal(SIGTERM);
+  }
+  ASSERT_TRUE(mCluster.WaitUntil([&] {
+    return !mCluster.NodeProcess("ledger-1").IsRunning() &&
+           !mCluster.NodeProcess("hammer-1").IsRunning();
+  }));
+  const std::size_t answered = Answered();
+  ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > answered + 100; }));
+  StopStream("ledger-0");
+  for (const std::string& node : stopped) {
+    EXPECT_EQ(mCluster.NodeProcess(node).Terminate(), 0) << node;
+  }
+}
+
+// Guards invariants 6, 8 and 9 when a target stops on purpose under load: no
+// call that it runs may be cut off.
+TEST_F(MembershipFailure, StoppedTargetCutsOffNoCall)
+{
+  std::vector<NodePlan> plans = TwoDataCentres(3, 3);
+  for (NodePlan& plan : plans) {
+    plan.mTargetArguments = { "--work-ms", "40" };
+  }
+  ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
+  const Names stopped{ "ledger-1", "hammer-1" };
+  StartStream(mCluster.NodeNames());
+  ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > 100; }));
+  for (const std::string& node : stopped) {
+    EXPECT_GT(Stats(node)["runs"].get<int>(), 0) << node;
+    mCluster.TargetProcess(node).Signal(SIGTERM);
+  }
+  ASSERT_TRUE(mCluster.WaitUntil([&] {
+    return !mCluster.TargetProcess("ledger-1").IsRunning() &&
+           !mCluster.TargetProcess("hammer-1").IsRunning();
+  }));
+  const std::size_t answered = Answered();
+  ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > answered + 100; }));
+  StopStream("ledger-0");
+  for (const std::string& node : stopped) {
+    EXPECT_EQ(mCluster.TargetProcess(node).Terminate(), 0) << node;
+  }
+}
+
+} // namespace
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/tests/RawTarget.cpp
@@ -0,0 +1,97 @@
+#include "RawTarget.h"
+
+#include <array>
+#include <stdexcept>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <net/SocketAddress.h>
+
+namespace papayaway {
+
+RawTarget::RawTarget(Cluster& aCluster,
+                     const std::string& aNode,
+                     std::string aAnswer)
+  : mCluster(aCluster)
+  , mNode(aNode)
+  , mAnswer(std::move(aAnswer))
+  , mAnnouncements(aCluster.Loop(), [this] { Announce(mService); })
+{
+  mListener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in address = *ParseAddress("127.0.0.1:0");
+  socklen_t size = sizeof address;
+  auto* const raw = reinterpret_cast<sockaddr*>(&address);
+  if (mListener < 0 || bind(mListener, raw, size) != 0 ||
+      listen(mListener, SOMAXCONN) != 0 ||
+      getsockname(mListener, raw, &size) != 0) {
+    throw std::runtime_error("can't listen for the raw target");
+  }
+  mAddress = FormatAddress(address);
+  mAcceptor.emplace(
+    aCluster.Loop(), mListener, [this](bool, bool) { Accept(); });
+  mAcceptor->Watch(true, false);
+}
+
+RawTarget::~RawTarget()
+{
+  mAcceptor.reset();
+  for (const auto& [socket, watcher] : mConnections) {
+    close(socket);
+  }
+  close(mListener);
+}
+
+void
+RawTarget::Announce(const std::string& aService)
+{
+  mService = aService;
+  const nlohmann::json body{ { "service", aService }, { "version", "v1" },
+                             { "address", mAddress }, { "slots", 4 },
+                             { "connections", 8 },    { "state", "ready" },
+                             { "instance", "raw" } };
+  mCluster.Client().Send(
+    { .mAddress = mCluster.NodeProcess(mNode).Address("admin"),
+      .mRequest = { .mMethod = "POST",
+                    .mPath = "/v1/target",
+                    .mBody = body.dump() } },
+    [](const HttpResult&) {});
+  mAnnouncements.StartOnce({ 500 });
+}
+
+void
+RawTarget::Accept()
+{
+  const int socket =
+    accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (socket < 0) {
+    return;
+  }
+  const auto [connection, isNew] = mConnections.try_emplace(
+    socket, mCluster.Loop(), socket, [this, socket](bool, bool) {
+      Serve(socket);
+    });
+  connection->second.Watch(true, false);
+}
+
+void
+RawTarget::Serve(int aSocket)
+{
+  std::array<char, 65536> bytes{};
+  const ssize_t count = read(aSocket, bytes.data(), bytes.size());
+  if (count > 0) {
+    ++mRequests;
+    const ssize_t written =
+      send(aSocket, mAnswer.data(), mAnswer.size(), MSG_NOSIGNAL);
+    static_cast<void>(written);
+  }
+  mConnections.at(aSocket).Watch(false, false);
+  shutdown(aSocket, SHUT_RDWR);
+  // The watcher can't be destroyed inside its own callback.
+  mCluster.Loop().Defer([this, aSocket] {
+    mConnections.erase(aSocket);
+    close(aSocket);
+  });
+}
+
+} // namespace papayaway
