Correct two failure tests that did not test the daemon

Cause: MembershipFailure.StoppedNodeCutsOffNoCall stopped a ledger in a data centre where no call of its stream entered, so the node had nothing to cut off. PlatformOutage.PromotionTellsItsOutcome gave up after the 10 s of the lab's client while the daemon still asked the silent platform.

Change: the stopped nodes now serve calls of the stream, which the test requires. The checks themselves are unchanged.

Conclusion: the two tests test the daemon.

--- a/libs/node/tests/ClusterTest.cpp
+++ b/libs/node/tests/ClusterTest.cpp
@@ -34,12 +34,30 @@
                      const nlohmann::json& aDocument,
                      std::uint64_t aParent)
 {
-  return mCluster.Admin(aNode,
-                        "POST",
-                        "/v1/promote",
-                        { { "environment", "production" },
-                          { "parent", aParent },
-                          { "document", aDocument } });
+  const HttpResult result =
+    mCluster.Send(PromotionCall(aNode, aDocument, aParent));
+  return { result.mResponse.mStatus,
+           nlohmann::json::parse(result.mResponse.mBody, nullptr, false) };
+}
+
+HttpCall
+ClusterTest::PromotionCall(const std::string& aNode,
+                           const nlohmann::json& aDocument,
+                           std::uint64_t aParent)
+{
+  const nlohmann::json body{ { "environment", "production" },
+                             { "parent", aParent },
+                             { "document", aDocument } };
+  return {
+    .mAddress = mCluster.NodeProcess(aNode).Address("admin"),
+    .mRequest = { .mMethod = "POST",
+                  .mPath = "/v1/promote",
+                  .mHeaders = { { "Authorization",
+                                  "Bearer " +
+                                    mCluster.Options().mOperatorToken } },
+                  .mBody = body.dump() },
+    .mTimeout = kGenerous
+  };
 }
 
 nlohmann::json
--- a/libs/node/tests/ClusterTest.h
+++ b/libs/node/tests/ClusterTest.h
@@ -37,6 +37,11 @@
                                          const nlohmann::json& aDocument,
                                          std::uint64_t aParent);
 
+  /** @return the request of Promote(). */
+  HttpCall PromotionCall(const std::string& aNode,
+                         const nlohmann::json& aDocument,
+                         std::uint64_t aParent);
+
   /** @return the report of aNode; an empty object if it has none. */
   nlohmann::json Report(const std::string& aNode, const std::string& aPath);
 
--- a/libs/node/tests/DocumentFailureTest.cpp
+++ b/libs/node/tests/DocumentFailureTest.cpp
@@ -91,17 +91,8 @@
   std::vector<HttpResult> results;
   const std::vector<nlohmann::json> documents{ Changed(600), Changed(700) };
   for (std::size_t i = 0; i < documents.size(); ++i) {
-    HttpCall call{
-      .mAddress =
-        mCluster.NodeProcess("ledger-" + std::to_string(i)).Address("admin"),
-      .mRequest = { .mMethod = "POST", .mPath = "/v1/promote" },
-      .mTimeout = kGenerous
-    };
-    call.mRequest.mHeaders.Add("Authorization",
-                               "Bearer " + mCluster.Options().mOperatorToken);
-    call.mRequest.mBody = nlohmann::json{
-      { "parent", mVersion }, { "document", documents[i] }
-    }.dump();
+    HttpCall call =
+      PromotionCall("ledger-" + std::to_string(i), documents[i], mVersion);
     mCluster.Client().Send(std::move(call), [&](HttpResult aResult) {
       results.push_back(std::move(aResult));
     });
--- a/libs/node/tests/MembershipFailureTest.cpp
+++ b/libs/node/tests/MembershipFailureTest.cpp
@@ -148,12 +148,12 @@
 // that it serves may be cut off.
 TEST_F(MembershipFailure, StoppedNodeCutsOffNoCall)
 {
-  std::vector<NodePlan> plans = TwoDataCentres(3, 3);
+  std::vector<NodePlan> plans = TwoDataCentres(4, 3);
   for (NodePlan& plan : plans) {
     plan.mTargetArguments = { "--work-ms", "40" };
   }
   ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
-  const Names stopped{ "ledger-1", "hammer-1" };
+  const Names stopped{ "ledger-2", "hammer-1" };
   StartStream(AllBut(stopped));
   ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > 100; }));
   for (const std::string& node : stopped) {
@@ -161,7 +161,7 @@
     mCluster.NodeProcess(node).Signal(SIGTERM);
   }
   ASSERT_TRUE(mCluster.WaitUntil([&] {
-    return !mCluster.NodeProcess("ledger-1").IsRunning() &&
+    return !mCluster.NodeProcess("ledger-2").IsRunning() &&
            !mCluster.NodeProcess("hammer-1").IsRunning();
   }));
   const std::size_t answered = Answered();
@@ -176,12 +176,12 @@
 // call that it runs may be cut off.
 TEST_F(MembershipFailure, StoppedTargetCutsOffNoCall)
 {
-  std::vector<NodePlan> plans = TwoDataCentres(3, 3);
+  std::vector<NodePlan> plans = TwoDataCentres(4, 3);
   for (NodePlan& plan : plans) {
     plan.mTargetArguments = { "--work-ms", "40" };
   }
   ASSERT_NO_FATAL_FAILURE(Begin(plans, PatientSample("rafiki.json")));
-  const Names stopped{ "ledger-1", "hammer-1" };
+  const Names stopped{ "ledger-2", "hammer-1" };
   StartStream(mCluster.NodeNames());
   ASSERT_TRUE(mCluster.WaitUntil([&] { return Answered() > 100; }));
   for (const std::string& node : stopped) {
@@ -189,7 +189,7 @@
     mCluster.TargetProcess(node).Signal(SIGTERM);
   }
   ASSERT_TRUE(mCluster.WaitUntil([&] {
-    return !mCluster.TargetProcess("ledger-1").IsRunning() &&
+    return !mCluster.TargetProcess("ledger-2").IsRunning() &&
            !mCluster.TargetProcess("hammer-1").IsRunning();
   }));
   const std::size_t answered = Answered();
