Run calls beyond the budget of the last stage on the old version

Cause: a call that the new version refuses because its exposure budget is used goes to the other versions by their shares. In the last stage of a move the new version has the whole share, so no version was left and the caller got a 503, although the old version was ready.

Change: EntryProxy then chooses a version without a share that has ready endpoints. Versions that refused the call stay excluded.

--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -130,6 +130,24 @@
   Dispatch(id);
 }
 
+std::string
+EntryProxy::VersionWithoutShare(const ActiveCall& aActive) const
+{
+  const Call& call = aActive.mCall;
+  const Service* const service =
+    mTable->SourceDocument().FindService(call.mService);
+  if (service == nullptr || aActive.mExcludedVersions.empty()) {
+    return {};
+  }
+  for (const VersionShare& version : service->mVersions) {
+    if (!Contains(aActive.mExcludedVersions, version.mName) &&
+        !mTable->Endpoints(call.mService, version.mName).empty()) {
+      return version.mName;
+    }
+  }
+  return {};
+}
+
 std::string
 EntryProxy::ChooseVersion(const ActiveCall& aActive)
 {
@@ -139,7 +157,9 @@
     sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
   }
   if (sum == 0) {
-    return {};
+    // In the last stage of a move the new version has the whole share; what
+    // its budget does not admit runs on an old version.
+    return VersionWithoutShare(aActive);
   }
   // The same key draws the same version, so that its repetition finds the
   // recorded outcome.
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -75,6 +75,10 @@
   void Dispatch(std::uint64_t aId);
   [[nodiscard]] const Endpoint* Choose(ActiveCall& aActive);
   [[nodiscard]] std::string ChooseVersion(const ActiveCall& aActive);
+  /** @return a version that has endpoints but no share, for a call that the
+   *    versions with a share have refused; or "". */
+  [[nodiscard]] std::string VersionWithoutShare(
+    const ActiveCall& aActive) const;
   void HandleReply(std::uint64_t aId, Reply aReply);
   [[nodiscard]] bool MayRetry(const ActiveCall& aActive, const Reply& aReply);
   void OnTimeout(std::uint64_t aId);
