Send what is waiting when a peer socket is destroyed

Cause: messages of one loop iteration share a write at its end. A node that answers a malformed message with an Error frame closes the link right after, which dropped the frame.

Change: the destructor of PeerSocket writes once before it closes.

--- a/libs/net/src/PeerSocket.cpp
+++ b/libs/net/src/PeerSocket.cpp
@@ -203,6 +203,9 @@
 {
   if (mImpl) {
     mImpl->mHandlers = {};
+    // The last message may be the one that tells the peer why the connection
+    // ends. What the socket does not take at once is dropped.
+    mImpl->Flush();
     mImpl->mEnded = true;
     mImpl->mHandshakeTimer.reset();
     // The session may be on the stack, so it lives to the next iteration;
