--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -130,6 +130,24 @@
   Dispatch(id);
 }
 
+std::string
+EntryProxy::VersionWithoutShare(const ActiveCall& aActive) const
+{
+  const Call& call = aActive.mCall;
+  const Service* const service =
+    mTable->SourceDocument().FindService(call.mService);
+  if (service == nullptr || aActive.mExcludedVersions.empty()) {
+    return {};
+  }
+  for (const VersionShare& version : service->mVersions) {
+    if (!Contains(aActive.mExcludedVersions, version.mName) &&
+        !mTable->Endpoints(call.mService, version.mName).empty()) {
+      return version.mName;
+    }
+  }
+  return {};
+}
+
 std::string
 EntryProxy::ChooseVersion(const ActiveCall& aActive)
 {
@@ -139,8 +157,9 @@
     sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
   }
   if (sum == 0) {
-    return aActive.mExcludedVersions.empty() ? std::string()
-                                             : FallbackVersion(aActive);
+    // In the last stage of a move the new version has the whole share; what
+    // its budget does not admit runs on an old version.
+    return VersionWithoutShare(aActive);
   }
   // The same key draws the same version, so that its repetition finds the
   // recorded outcome.
@@ -159,25 +178,6 @@
   return {};
 }
 
-std::string
-EntryProxy::FallbackVersion(const ActiveCall& aActive) const
-{
-  // At the last stage of a move the old version has no share, but it takes
-  // the calls that the new version may not run yet.
-  const Service* const service =
-    mTable->SourceDocument().FindService(aActive.mCall.mService);
-  if (service == nullptr) {
-    return {};
-  }
-  for (const VersionShare& version : service->mVersions) {
-    if (!Contains(aActive.mExcludedVersions, version.mName) &&
-        !mTable->Endpoints(service->mName, version.mName).empty()) {
-      return version.mName;
-    }
-  }
-  return {};
-}
-
 const Endpoint*
 EntryProxy::Choose(ActiveCall& aActive)
 {
