Admit calls by AdmissionQueue and retry within RetryBudget

Cause: the serving node counted calls against the slots with a plain queue, and the entry node had plain retry tokens. Neither adapted to latency, waiting calls were only checked against their deadline when a slot became free, and a retry was sent on with the attempt number of the first try, so a node further down the chain could retry it again.

Change: TargetProxy starts, queues and refuses calls as AdmissionQueue says. A timer of 5 ms refuses calls that can't meet their deadline and runs only while something is queued. A queued call whose target was replaced by another version is refused as not run. EntryProxy asks RetryBudget: one retry per call, with attempt 1, within 10% of the calls. Exposure refusals are redirects and take no token. New metrics: papayaway_queued_calls, papayaway_serving_refusals_total by reason, papayaway_retries_refused_total and papayaway_active_calls_refused_total.

--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -68,6 +68,12 @@
   , mFacts(aFacts)
   , mTargetProxy(aTargetProxy)
   , mHandlers(std::move(aHandlers))
+  , mRetriesRefused(
+      aContext.mMetrics.Counter("papayaway_retries_refused_total",
+                                "Retries that the retry budget did not allow"))
+  , mTooManyCalls(
+      aContext.mMetrics.Counter("papayaway_active_calls_refused_total",
+                                "Calls refused because too many are in flight"))
 {
 }
 
@@ -112,6 +118,7 @@
     return;
   }
   if (mCalls.size() >= kMaxActiveCalls) {
+    mTooManyCalls.Increment();
     Respond(*aExchange, NotRunReply(503, "too many calls are in flight here"));
     return;
   }
@@ -125,7 +132,10 @@
     std::make_unique<Timer>(mContext.mLoop, [this, id] { OnTimeout(id); });
   active.mTimeout->StartOnce(call.mTimeLeft + kReplyGrace);
   aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
-  mRetryTokens = std::min(mRetryTokens + 0.1, 100.0);
+  active.mArrivedAttempt = call.mAttempt;
+  if (call.mAttempt == 0) {
+    mRetryBudget.OnFirstCall();
+  }
   mCalls.emplace(id, std::move(active));
   Dispatch(id);
 }
@@ -240,26 +250,35 @@
 }
 
 bool
-EntryProxy::MayRetry(const ActiveCall& aActive, const Reply& aReply)
+EntryProxy::TryRetry(ActiveCall& aActive, const Reply& aReply)
 {
-  const Call& call = aActive.mCall;
   if (aActive.mAttempts >= kMaxAttempts) {
     return false;
   }
+  // It did not reach a target and goes to another version: a redirect, not a
+  // retry.
   if (IsExposureRefusal(aReply)) {
     return true;
   }
-  const bool repeatable =
-    aReply.mOutcome == Outcome::NotRun
-      ? aReply.mStatus == 503
-      : call.mIdempotent && aReply.mOutcome == Outcome::Unknown;
-  // A call that is itself a retry is not retried again, so that retries do
-  // not multiply along a chain of calls.
-  if (!repeatable || call.mAttempt > 0 || mRetryTokens < 1) {
+  if (aReply.mOutcome == Outcome::Ran ||
+      (aReply.mOutcome == Outcome::NotRun && aReply.mStatus != 503)) {
     return false;
   }
-  mRetryTokens -= 1;
-  return true;
+  const std::uint64_t exhausted = mRetryBudget.Exhausted();
+  const bool allowed =
+    mRetryBudget.TryRetry({ .mArrivedAttempt = aActive.mArrivedAttempt,
+                            .mRetries = aActive.mRetries,
+                            .mOutcome = aReply.mOutcome,
+                            .mIdempotent = aActive.mCall.mIdempotent },
+                          SteadyNow());
+  mRetriesRefused.Increment(
+    static_cast<double>(mRetryBudget.Exhausted() - exhausted));
+  if (allowed) {
+    ++aActive.mRetries;
+    aActive.mCall.mAttempt = aActive.mArrivedAttempt + 1;
+    mContext.mMetrics.mRetries.Increment();
+  }
+  return allowed;
 }
 
 void
@@ -278,11 +297,10 @@
                   now - active.mSent,
                   now,
                   mContext.mRandom);
-  if (!MayRetry(active, aReply)) {
+  if (!TryRetry(active, aReply)) {
     Answer(aId, aReply);
     return;
   }
-  mContext.mMetrics.mRetries.Increment();
   if (IsExposureRefusal(aReply)) {
     active.mExcludedVersions.push_back(active.mCall.mVersion);
   } else {
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -10,6 +10,7 @@
 #include <mesh/FactStore.h>
 #include <net/HttpServer.h>
 #include <traffic/EndpointPicker.h>
+#include <traffic/RetryBudget.h>
 #include <traffic/RouteTable.h>
 #include <wire/Messages.h>
 
@@ -67,6 +68,10 @@
     std::vector<std::string> mExcludedNodes;
     std::vector<std::string> mExcludedVersions;
     int mAttempts = 0;
+    /** The attempt that the call arrived with. */
+    int mArrivedAttempt = 0;
+    /** Attempts that took a token of the retry budget. */
+    int mRetries = 0;
     /** The refusal that is answered if no other endpoint takes the call. */
     Reply mLastReply;
     std::unique_ptr<Timer> mTimeout;
@@ -76,7 +81,7 @@
   [[nodiscard]] const Endpoint* Choose(ActiveCall& aActive);
   [[nodiscard]] std::string ChooseVersion(const ActiveCall& aActive);
   void HandleReply(std::uint64_t aId, Reply aReply);
-  [[nodiscard]] bool MayRetry(const ActiveCall& aActive, const Reply& aReply);
+  [[nodiscard]] bool TryRetry(ActiveCall& aActive, const Reply& aReply);
   void OnTimeout(std::uint64_t aId);
   void OnAbandoned(std::uint64_t aId);
   void CancelAttempt(const ActiveCall& aActive);
@@ -92,8 +97,9 @@
   EndpointPicker mPicker;
   std::uint64_t mNextId = 1;
   std::unordered_map<std::uint64_t, ActiveCall> mCalls;
-  /** Tokens for retries: each call adds a tenth, each retry takes one. */
-  double mRetryTokens = 0;
+  RetryBudget mRetryBudget;
+  prometheus::Counter& mRetriesRefused;
+  prometheus::Counter& mTooManyCalls;
 };
 
 } // namespace papayaway
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -11,14 +11,46 @@
 
 namespace {
 
-/** Calls that wait for a slot, as a multiple of the slots. */
-constexpr std::size_t kQueuePerSlot = 2;
-/** Less time than this is not enough to run a call. */
-constexpr Millis kMinTimeLeft{ 1 };
+/** Bounds the memory of waiting calls; how long they wait is bounded by their
+ *  deadlines. */
+constexpr std::size_t kMaxQueued = 64;
+constexpr Millis kQueueTickPeriod{ 5 };
 constexpr Millis kKeyExpiryPeriod = Seconds(10);
 
+prometheus::Counter&
+RefusalCounter(NodeMetrics& aMetrics, const std::string& aReason)
+{
+  return aMetrics.Counter("papayaway_serving_refusals_total",
+                          "Calls refused as not run by the serving node",
+                          { { "reason", aReason } });
+}
+
+/** Tells how a call ended for the estimate of the target's latency. Failures
+ *  are often much faster than answers and would lower the baseline. */
+CallEnd
+EndOf(const Reply& aReply)
+{
+  if (aReply.mOutcome == Outcome::Unknown && aReply.mStatus == 504) {
+    return CallEnd::TimedOut;
+  }
+  return aReply.mOutcome == Outcome::Ran && aReply.mStatus < 500
+           ? CallEnd::Answered
+           : CallEnd::Other;
+}
+
 } // namespace
 
+TargetProxy::RefusalCounters::RefusalCounters(NodeMetrics& aMetrics)
+  : mNotReady(RefusalCounter(aMetrics, "not-ready"))
+  , mExposure(RefusalCounter(aMetrics, "exposure"))
+  , mQueueFull(RefusalCounter(aMetrics, "queue-full"))
+  , mDeadline(RefusalCounter(aMetrics, "deadline"))
+  , mExpiredInQueue(RefusalCounter(aMetrics, "expired-in-queue"))
+  , mNotConnected(RefusalCounter(aMetrics, "not-connected"))
+  , mKeysFull(RefusalCounter(aMetrics, "keys-full"))
+{
+}
+
 TargetProxy::TargetProxy(NodeContext& aContext,
                          LocalTarget& aTarget,
                          TargetProxyHandlers aHandlers)
@@ -26,22 +58,21 @@
   , mTarget(aTarget)
   , mHandlers(std::move(aHandlers))
   , mClient(aContext.mLoop, { .mMaxBody = aContext.mSettings.mMaxBody })
+  , mAdmission(1, kMaxQueued)
+  , mRefusals(aContext.mMetrics)
+  , mQueueLength(aContext.mMetrics.Gauge("papayaway_queued_calls",
+                                         "Calls that wait for a slot"))
+  , mQueueTick(aContext.mLoop,
+               [this] { Perform(mAdmission.OnTick(SteadyNow())); })
   , mKeyExpiry(aContext.mLoop, [this] { mKeys.Expire(SteadyNow()); })
 {
   mKeyExpiry.StartRepeating(kKeyExpiryPeriod);
 }
 
-std::size_t
-TargetProxy::Slots() const
-{
-  return mTarget.Current() ? static_cast<std::size_t>(mTarget.Current()->mSlots)
-                           : 0;
-}
-
 std::size_t
 TargetProxy::Load() const
 {
-  return mAtTarget + mQueue.size();
+  return static_cast<std::size_t>(mAdmission.InFlight()) + mAdmission.Queued();
 }
 
 ServedId
@@ -67,25 +98,29 @@
   if (!call.mIdempotent && !AdmitKey(aId)) {
     return;
   }
-  const auto& target = mTarget.Current();
-  if (!mTarget.IsReady() || target->mService != call.mService ||
-      target->mVersion != call.mVersion) {
-    Refuse(aId, NotRunReply(503, "the target is not ready for this version"));
+  if (!mTarget.IsReady() || !HasTargetFor(call)) {
+    Refuse(aId,
+           NotRunReply(503, "the target is not ready for this version"),
+           mRefusals.mNotReady);
     return;
   }
   if (!call.mIdempotent) {
     if (!mHandlers.mAdmitExposure(call)) {
-      Refuse(aId, ExposureRefusal());
+      Refuse(aId, ExposureRefusal(), mRefusals.mExposure);
       return;
     }
     served.mExposed = true;
   }
-  if (mAtTarget < Slots()) {
-    Send(aId);
-  } else if (mQueue.size() < Slots() * kQueuePerSlot) {
-    mQueue.push_back(aId);
-  } else {
-    Refuse(aId, NotRunReply(503, "the target has no free slot"));
+  mAdmission.SetSlots(mTarget.Current()->mSlots);
+  const bool full = mAdmission.Queued() >= kMaxQueued;
+  AdmissionActions actions =
+    mAdmission.Offer(aId, served.mDeadline, SteadyNow());
+  const bool refused = std::erase(actions.mRefuse, aId) > 0;
+  Perform(std::move(actions));
+  if (refused) {
+    Refuse(aId,
+           NotRunReply(503, "the target has no free slot in time"),
+           full ? mRefusals.mQueueFull : mRefusals.mDeadline);
   }
 }
 
@@ -115,6 +150,7 @@
       Finish(aId, UnknownReply(502, "the outcome of this key is not known"));
       return false;
     case KeyAdmission::Full:
+      mRefusals.mKeysFull.Increment();
       Finish(aId, NotRunReply(503, "too many keys are remembered"));
       return false;
     case KeyAdmission::Mismatch:
@@ -124,20 +160,70 @@
   return false;
 }
 
+bool
+TargetProxy::HasTargetFor(const Call& aCall) const
+{
+  const auto& target = mTarget.Current();
+  return target && target->mService == aCall.mService &&
+         target->mVersion == aCall.mVersion;
+}
+
 void
-TargetProxy::StartQueued()
+TargetProxy::Perform(AdmissionActions aActions)
 {
-  const Millis now = SteadyNow();
-  while (!mQueue.empty() && mAtTarget < Slots()) {
-    const ServedId id = mQueue.front();
-    mQueue.pop_front();
-    if (mServed.at(id).mDeadline - now < kMinTimeLeft) {
-      Refuse(id,
-             NotRunReply(503, "the deadline passed before a slot was free"));
-    } else {
+  // A refusal may offer the call again before it returns, but Send() runs no
+  // callback: so every started call is still there.
+  std::vector<ServedId> gone;
+  for (std::size_t i = 0; i < aActions.mStart.size(); ++i) {
+    const ServedId id = aActions.mStart[i];
+    if (HasTargetFor(mServed.at(id).mCall)) {
       Send(id);
+      continue;
+    }
+    // The target went away or was replaced while the call waited.
+    gone.push_back(id);
+    const AdmissionActions next =
+      mAdmission.OnFinished(CallEnd::Other, {}, SteadyNow());
+    aActions.mStart.insert(
+      aActions.mStart.end(), next.mStart.begin(), next.mStart.end());
+    aActions.mRefuse.insert(
+      aActions.mRefuse.end(), next.mRefuse.begin(), next.mRefuse.end());
+  }
+  WatchQueue();
+  for (const ServedId id : gone) {
+    if (mServed.contains(id)) {
+      Refuse(id, NotRunReply(503, "the target is gone"), mRefusals.mNotReady);
     }
   }
+  for (const ServedId id : aActions.mRefuse) {
+    if (mServed.contains(id)) {
+      Refuse(id,
+             NotRunReply(503, "the target had no free slot in time"),
+             mRefusals.mExpiredInQueue);
+    }
+  }
+}
+
+void
+TargetProxy::OnTargetFree(CallEnd aEnd, Millis aLatency)
+{
+  Perform(mAdmission.OnFinished(aEnd, aLatency, SteadyNow()));
+}
+
+void
+TargetProxy::WatchQueue()
+{
+  mQueueLength.Set(static_cast<double>(mAdmission.Queued()));
+  const bool needed = mAdmission.Queued() > 0;
+  if (needed == mWatchingQueue) {
+    return;
+  }
+  mWatchingQueue = needed;
+  if (needed) {
+    mQueueTick.StartRepeating(kQueueTickPeriod);
+  } else {
+    mQueueTick.Stop();
+  }
 }
 
 void
@@ -165,7 +251,6 @@
   }
   served.mAtTarget = true;
   served.mSent = now;
-  ++mAtTarget;
   mContext.mMetrics.mServed.Increment();
   served.mHttpId = mClient.Send(std::move(http), [this, aId](HttpResult aHttp) {
     OnResult(aId, std::move(aHttp));
@@ -175,10 +260,9 @@
 void
 TargetProxy::OnResult(ServedId aId, HttpResult aResult)
 {
-  --mAtTarget;
   const auto found = mServed.find(aId);
   if (found == mServed.end()) {
-    StartQueued();
+    OnTargetFree(CallEnd::Other, {});
     return;
   }
   Served& served = found->second;
@@ -186,24 +270,28 @@
   const Call& call = served.mCall;
   if (aResult.mFailure == HttpFailure::NotConnected && !aResult.mMayHaveRun) {
     mTarget.OnRefusedConnection();
-    Refuse(aId, NotRunReply(503, "the target does not accept connections"));
-    StartQueued();
+    Refuse(aId,
+           NotRunReply(503, "the target does not accept connections"),
+           mRefusals.mNotConnected);
+    OnTargetFree(CallEnd::Other, {});
     return;
   }
   Reply reply = ReplyOf(std::move(aResult));
+  const CallEnd end = EndOf(reply);
+  const Millis latency = SteadyNow() - served.mSent;
   if (reply.mOutcome == Outcome::NotRun && served.mExposed) {
     mHandlers.mReleaseExposure(call);
   }
   if (reply.mOutcome != Outcome::NotRun) {
     const bool failed =
       reply.mOutcome == Outcome::Unknown || reply.mStatus >= 500;
-    mHandlers.mObserved(call, failed, SteadyNow() - served.mSent);
+    mHandlers.mObserved(call, failed, latency);
   }
   if (!call.mIdempotent) {
     FinishKey(call, reply);
   }
+  OnTargetFree(end, latency);
   Finish(aId, std::move(reply));
-  StartQueued();
 }
 
 void
@@ -241,8 +329,11 @@
 }
 
 void
-TargetProxy::Refuse(ServedId aId, const Reply& aReply)
+TargetProxy::Refuse(ServedId aId,
+                    const Reply& aReply,
+                    prometheus::Counter& aReason)
 {
+  aReason.Increment();
   Served& served = mServed.at(aId);
   if (served.mExposed) {
     mHandlers.mReleaseExposure(served.mCall);
@@ -274,12 +365,15 @@
   if (found == mServed.end() || !found->second.mCall.mIdempotent) {
     return;
   }
-  if (found->second.mAtTarget) {
-    mClient.Cancel(found->second.mHttpId);
+  const bool atTarget = found->second.mAtTarget;
+  const HttpClient::CallId httpId = found->second.mHttpId;
+  mServed.erase(found);
+  if (atTarget) {
+    mClient.Cancel(httpId);
   } else {
-    std::erase(mQueue, aId);
+    mAdmission.Cancel(aId);
+    WatchQueue();
   }
-  mServed.erase(found);
 }
 
 } // namespace papayaway
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +9,7 @@
 
 #include <keys/KeyLedger.h>
 #include <net/HttpClient.h>
+#include <traffic/AdmissionQueue.h>
 #include <wire/Messages.h>
 
 #include "LocalTarget.h"
@@ -53,6 +53,20 @@
   [[nodiscard]] std::size_t Load() const;
 
 private:
+  /** Counts refusals by reason. */
+  struct RefusalCounters
+  {
+    explicit RefusalCounters(NodeMetrics& aMetrics);
+
+    prometheus::Counter& mNotReady;
+    prometheus::Counter& mExposure;
+    prometheus::Counter& mQueueFull;
+    prometheus::Counter& mDeadline;
+    prometheus::Counter& mExpiredInQueue;
+    prometheus::Counter& mNotConnected;
+    prometheus::Counter& mKeysFull;
+  };
+
   struct Served
   {
     Call mCall;
@@ -66,16 +80,19 @@
   };
 
   void Admit(ServedId aId);
-  void StartQueued();
+  void Perform(AdmissionActions aActions);
+  /** @return whether the announced target is of the call's version. */
+  [[nodiscard]] bool HasTargetFor(const Call& aCall) const;
+  void OnTargetFree(CallEnd aEnd, Millis aLatency);
+  void WatchQueue();
   void Send(ServedId aId);
   void OnResult(ServedId aId, HttpResult aResult);
-  void Refuse(ServedId aId, const Reply& aReply);
+  void Refuse(ServedId aId, const Reply& aReply, prometheus::Counter& aReason);
   void Finish(ServedId aId, Reply aReply);
   bool AdmitKey(ServedId aId);
   void FinishKey(const Call& aCall, const Reply& aReply);
   void AnswerWaiters(const std::vector<std::uint64_t>& aWaiters,
                      const Reply& aReply);
-  [[nodiscard]] std::size_t Slots() const;
 
   NodeContext& mContext;
   LocalTarget& mTarget;
@@ -84,8 +101,11 @@
   KeyLedger mKeys;
   ServedId mNextId = 1;
   std::unordered_map<ServedId, Served> mServed;
-  std::deque<ServedId> mQueue;
-  std::size_t mAtTarget = 0;
+  AdmissionQueue mAdmission;
+  RefusalCounters mRefusals;
+  prometheus::Gauge& mQueueLength;
+  bool mWatchingQueue = false;
+  Timer mQueueTick;
   Timer mKeyExpiry;
 };
 
