Quarantine requests that crash targets

Cause: nothing in the daemon fed the quarantine decisions, so a request that crashes each target that runs it could be sent to one target after the other.

Change: CrashWatch keeps the requests in flight at the target and those whose connection broke in the last 10 s. When the target refuses a connection or another process announces itself, also after the silence that ends an endpoint, they become the suspects of a crash. QuarantineAgent floods the peer messages CrashReport (passed on once, by 1,024 remembered ids) and SuspectRan (passed on while the request is a suspect), and publishes the verdict as a fact. The entry node refuses quarantined requests with 422 not-run; the serving node also holds back suspects, at admission and when a queued call starts; an idempotent call is retried only if the quarantine allows it. POST /v1/release publishes the released fact. Timeline events: target-crashed, quarantined, released.

Tests: the bound of the message test for unknown types and that of the event names follow the new members. The message test for an unknown kind of fact used kind 5, which is ConductorFact since, and failed for that reason; it uses kind 6 now, the first that is unknown.

A caller that gives up before its target crashes leaves no evidence.

--- /dev/null
+++ b/libs/node/src/CrashWatch.cpp
@@ -0,0 +1,66 @@
+#include "CrashWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaway {
+
+void
+CrashWatch::OnSent(CallId aCall, std::string aFingerprint, Millis aNow)
+{
+  mSent.emplace(aCall, Sent{ std::move(aFingerprint), aNow });
+}
+
+void
+CrashWatch::OnEnded(CallId aCall)
+{
+  mSent.erase(aCall);
+}
+
+void
+CrashWatch::OnBroken(CallId aCall, Millis aNow)
+{
+  const auto found = mSent.find(aCall);
+  if (found == mSent.end()) {
+    return;
+  }
+  while (!mBroken.empty() && (mBroken.size() >= kMaxBroken ||
+                              aNow - mBroken.front().mAt > kWindow)) {
+    mBroken.pop_front();
+  }
+  mBroken.push_back({ std::move(found->second.mFingerprint), aNow });
+  mSent.erase(found);
+}
+
+std::vector<std::string>
+CrashWatch::TakeCrashed(Millis aNow)
+{
+  std::erase_if(
+    mBroken, [&](const Sent& aBroken) { return aNow - aBroken.mAt > kWindow; });
+  std::vector<std::string> crashed;
+  for (const Sent& broken : mBroken) {
+    crashed.push_back(broken.mFingerprint);
+  }
+  for (const auto& [call, sent] : mSent) {
+    if (mBroken.empty() || sent.mAt <= mBroken.front().mAt) {
+      crashed.push_back(sent.mFingerprint);
+    }
+  }
+  mBroken.clear();
+  std::sort(crashed.begin(), crashed.end());
+  crashed.erase(std::unique(crashed.begin(), crashed.end()), crashed.end());
+  return crashed;
+}
+
+std::vector<std::string>
+CrashWatch::InFlight() const
+{
+  std::vector<std::string> fingerprints;
+  fingerprints.reserve(mSent.size());
+  for (const auto& [call, sent] : mSent) {
+    fingerprints.push_back(sent.mFingerprint);
+  }
+  return fingerprints;
+}
+
+} // namespace papayaway
--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -264,6 +264,9 @@
       (aReply.mOutcome == Outcome::NotRun && aReply.mStatus != 503)) {
     return false;
   }
+  if (!mHandlers.mMayRetry(aActive.mCall)) {
+    return false;
+  }
   const std::uint64_t exhausted = mRetryBudget.Exhausted();
   const bool allowed =
     mRetryBudget.TryRetry({ .mArrivedAttempt = aActive.mArrivedAttempt,
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -29,6 +29,9 @@
     mAnswered;
   /** @return whether the request is refused because it crashes targets. */
   std::function<bool(const Call&)> mIsQuarantined;
+  /** @return whether the request may be sent to another target although the
+   *    first one may have crashed on it. */
+  std::function<bool(const Call&)> mMayRetry;
 };
 
 /** Takes the calls of callers and sends each to an endpoint. */
--- a/libs/node/src/LocalTarget.cpp
+++ b/libs/node/src/LocalTarget.cpp
@@ -100,14 +100,16 @@
 void
 LocalTarget::OnAnnouncement(const TargetAnnouncement& aAnnouncement)
 {
-  const bool other = mCurrent && mCurrent->mInstance != aAnnouncement.mInstance;
-  if (other && mCurrent->mState != EndpointState::Draining) {
+  const bool other = mLast && mLast->mInstance != aAnnouncement.mInstance;
+  if (other && mLast->mState != EndpointState::Draining &&
+      mLast->mState != EndpointState::Gone) {
     mHandlers.mRestarted();
   }
   if (!mCurrent || other) {
     mDrained = false;
   }
   mCurrent = aAnnouncement;
+  mLast = aAnnouncement;
   if (aAnnouncement.mState == EndpointState::Gone) {
     mSilence.Stop();
     mCurrent.reset();
--- a/libs/node/src/LocalTarget.h
+++ b/libs/node/src/LocalTarget.h
@@ -73,6 +73,8 @@
   NodeContext& mContext;
   LocalTargetHandlers mHandlers;
   std::optional<TargetAnnouncement> mCurrent;
+  /** The last announcement, also while the target is gone. */
+  std::optional<TargetAnnouncement> mLast;
   std::optional<EndpointFact> mPublished;
   std::uint64_t mSequence = 0;
   bool mDrained = false;
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -19,6 +19,7 @@
 #include "NodeContext.h"
 #include "PeerLinks.h"
 #include "PlatformAgent.h"
+#include "QuarantineAgent.h"
 #include "Reports.h"
 #include "TargetProxy.h"
 
@@ -43,6 +44,7 @@
   MemberAgent mMembers;
   PlatformAgent mPlatform;
   MoveAgent mMoves;
+  QuarantineAgent mQuarantine;
   AdminApi mAdmin;
   std::unique_ptr<HttpServer> mCallerServer;
   std::unique_ptr<HttpServer> mAdminServer;
@@ -76,7 +78,7 @@
         mContext,
         { .mChanged =
             [this](const EndpointFact& aFact) { mSpreader.Publish(aFact); },
-          .mRestarted = [] {} })
+          .mRestarted = [this] { mTargetProxy.OnTargetRestarted(); } })
     , mTargetProxy(
         mContext,
         mTarget,
@@ -87,6 +89,20 @@
           .mObserved =
             [this](const Call& aCall, bool aFailed, Millis aTime) {
               mMoves.OnObserved(aCall, aFailed, aTime);
+            },
+          .mVerdict =
+            [this](const std::string& aFingerprint, const CrashWatch& aWatch) {
+              return mQuarantine.Check(aFingerprint, aWatch);
+            },
+          .mCrashed =
+            [this](const std::string& aService,
+                   std::vector<std::string> aFingerprints) {
+              mQuarantine.OnTargetCrashed(aService, std::move(aFingerprints));
+            },
+          .mRan =
+            [this](const std::string& aService,
+                   const std::string& aFingerprint) {
+              mQuarantine.OnRan(aService, aFingerprint);
             } })
     , mEntry(
         mContext,
@@ -94,7 +110,12 @@
         mSpreader.Store(),
         mTargetProxy,
         { .mAnswered = [](const Call&, const std::string&, int, Outcome) {},
-          .mIsQuarantined = [](const Call&) { return false; } })
+          .mIsQuarantined =
+            [this](const Call& aCall) {
+              return mQuarantine.IsQuarantined(aCall);
+            },
+          .mMayRetry =
+            [this](const Call& aCall) { return mQuarantine.MayRetry(aCall); } })
     , mMembers(mContext, mLinks, mSpreader)
     , mPlatform(mContext, mLinks, mSpreader, mMembers)
     , mMoves(mContext,
@@ -102,6 +123,7 @@
              mSpreader,
              mPlatform.Client(),
              [this] { return mPlatform.IsRelay(); })
+    , mQuarantine(mContext, mLinks, mSpreader)
     , mAdmin(mContext)
     , mStopTimer(aLoop, [this] { ContinueStop(); })
   {
@@ -156,6 +178,7 @@
   mMembers.Start(mAdminServer->Address());
   mPlatform.Start(mAdminServer->Address());
   mMoves.Start();
+  mQuarantine.Start();
   return {};
 }
 
@@ -226,6 +249,10 @@
       mTarget.Drain();
       aExchange->Respond(JsonResponse(200, "{}"));
     });
+  mAdmin.Add(
+    "POST", "/v1/release", Access::Operator, [this](const Exchange& aExchange) {
+      mQuarantine.OnRelease(aExchange);
+    });
   mAdmin.Add(
     "GET", "/metrics", Access::Open, [this](const Exchange& aExchange) {
       aExchange->Respond({ .mStatus = 200,
@@ -274,6 +301,10 @@
       mSpreader.OnDocumentRequest(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, Evidence>) {
       mMoves.OnEvidence(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, CrashReport>) {
+      mQuarantine.OnCrashReport(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, SuspectRan>) {
+      mQuarantine.OnSuspectRan(aLink, aAlternative);
     }
   };
   mMembers.OnHeard(aLink);
@@ -312,6 +343,7 @@
   }
   mMembers.OnFact(aFact);
   mMoves.OnFact(aFact);
+  mQuarantine.OnFact(aFact);
 }
 
 void
--- /dev/null
+++ b/libs/node/src/QuarantineAgent.cpp
@@ -0,0 +1,209 @@
+#include "QuarantineAgent.h"
+
+#include <nlohmann/json.hpp>
+
+#include "AdminApi.h"
+
+namespace papayaway {
+
+namespace {
+
+/** At 1,024 ids of about 40 bytes, far more reports than are in transit. */
+constexpr std::size_t kMaxReports = 1024;
+constexpr Millis kTickPeriod = Seconds(1);
+
+} // namespace
+
+std::string
+FingerprintOf(const Call& aCall)
+{
+  return RequestFingerprint({ .mService = aCall.mService,
+                              .mRoute = aCall.mRoute,
+                              .mMethod = aCall.mMethod,
+                              .mPath = aCall.mPath,
+                              .mQuery = aCall.mQuery,
+                              .mKey = aCall.mKey,
+                              .mBody = aCall.mBody });
+}
+
+QuarantineAgent::QuarantineAgent(NodeContext& aContext,
+                                 PeerLinks& aLinks,
+                                 FactSpreader& aSpreader)
+  : mContext(aContext)
+  , mLinks(aLinks)
+  , mSpreader(aSpreader)
+  , mReports(kMaxReports)
+  , mCrashCount(aContext.mMetrics.Counter("papayaway_target_crashes_total",
+                                          "Crashes of the target of this host "
+                                          "with requests in flight"))
+  , mReportsReceived(
+      aContext.mMetrics.Counter("papayaway_crash_reports_received_total",
+                                "Crash reports of other nodes that were new"))
+  , mQuarantined(aContext.mMetrics.Gauge("papayaway_quarantined_requests",
+                                         "Quarantines in force"))
+  , mTick(aContext.mLoop, [this] {
+    mQuarantine.OnTick(WallNow());
+    mQuarantined.Set(
+      static_cast<double>(mQuarantine.Quarantined(WallNow()).size()));
+  })
+{
+}
+
+void
+QuarantineAgent::Start()
+{
+  mTick.StartRepeating(kTickPeriod);
+}
+
+void
+QuarantineAgent::OnTargetCrashed(const std::string& aService,
+                                 std::vector<std::string> aFingerprints)
+{
+  if (aFingerprints.empty() || aFingerprints.size() > kMaxCrashSuspects) {
+    return;
+  }
+  mCrashCount.Increment();
+  ++mCrashes;
+  const CrashReport report{ .mId = mContext.mSettings.mName + "/" +
+                                   std::to_string(mContext.mIncarnation) + "/" +
+                                   std::to_string(mCrashes),
+                            .mService = aService,
+                            .mFingerprints = std::move(aFingerprints) };
+  mContext.Record({ .mPart = "quarantine",
+                    .mKind = EventKind::TargetCrashed,
+                    .mService = aService,
+                    .mRequest = report.mFingerprints.size() == 1
+                                  ? report.mFingerprints.front()
+                                  : "",
+                    .mText = "the target crashed with " +
+                             std::to_string(report.mFingerprints.size()) +
+                             " requests in flight" });
+  mReports.Insert(report.mId);
+  mLinks.Flood(report, "");
+  Publish(mQuarantine.OnCrash(report, WallNow()));
+}
+
+void
+QuarantineAgent::OnRan(const std::string& aService,
+                       const std::string& aFingerprint)
+{
+  if (!mQuarantine.IsSuspect(aFingerprint)) {
+    return;
+  }
+  mLinks.Flood(SuspectRan{ aService, aFingerprint }, "");
+  Publish(mQuarantine.OnRan(aFingerprint, WallNow()));
+}
+
+void
+QuarantineAgent::OnCrashReport(const LinkInfo& aLink,
+                               const CrashReport& aReport)
+{
+  if (!mReports.Insert(aReport.mId)) {
+    return;
+  }
+  mReportsReceived.Increment();
+  mLinks.Flood(aReport, aLink.mNode);
+  Publish(mQuarantine.OnCrash(aReport, WallNow()));
+}
+
+void
+QuarantineAgent::OnSuspectRan(const LinkInfo& aLink, const SuspectRan& aRan)
+{
+  // The message ends the suspicion here, so it is passed on once.
+  if (!mQuarantine.IsSuspect(aRan.mFingerprint)) {
+    return;
+  }
+  mLinks.Flood(aRan, aLink.mNode);
+  Publish(mQuarantine.OnRan(aRan.mFingerprint, WallNow()));
+}
+
+void
+QuarantineAgent::Publish(const std::vector<QuarantineFact>& aFacts)
+{
+  for (const QuarantineFact& fact : aFacts) {
+    mContext.Record({ .mPart = "quarantine",
+                      .mKind = EventKind::Quarantined,
+                      .mService = fact.mService,
+                      .mRequest = fact.mFingerprint,
+                      .mText = "a request that crashes targets of " +
+                               fact.mService + " is quarantined" });
+    mSpreader.Publish(fact);
+  }
+}
+
+void
+QuarantineAgent::OnFact(const Fact& aFact)
+{
+  const auto* const fact = std::get_if<QuarantineFact>(&aFact);
+  if (fact == nullptr) {
+    return;
+  }
+  const bool before = mQuarantine.IsQuarantined(fact->mFingerprint, WallNow());
+  mQuarantine.OnFact(*fact, WallNow());
+  const bool after = mQuarantine.IsQuarantined(fact->mFingerprint, WallNow());
+  if (before != after) {
+    mContext.Record(
+      { .mPart = "quarantine",
+        .mKind = after ? EventKind::Quarantined : EventKind::Released,
+        .mService = fact->mService,
+        .mRequest = fact->mFingerprint,
+        .mText = after ? "the quarantine of a request of " + fact->mService +
+                           " is known here"
+                       : "the release of a request of " + fact->mService +
+                           " is known here" });
+  }
+}
+
+void
+QuarantineAgent::OnRelease(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const auto json =
+    nlohmann::json::parse(aExchange->Request().mBody, nullptr, false);
+  const auto fingerprint =
+    json.is_object() ? json.find("fingerprint") : json.end();
+  if (!json.is_object() || fingerprint == json.end() ||
+      !fingerprint->is_string()) {
+    aExchange->Respond(AdminError(400, "\"fingerprint\" is missing"));
+    return;
+  }
+  const auto fact =
+    mQuarantine.Release(fingerprint->get<std::string>(), WallNow());
+  if (!fact) {
+    aExchange->Respond(AdminError(404, "the request is not quarantined"));
+    return;
+  }
+  mContext.Record(
+    { .mPart = "quarantine",
+      .mKind = EventKind::Released,
+      .mService = fact->mService,
+      .mRequest = fact->mFingerprint,
+      .mText = "an operator releases a request of " + fact->mService });
+  mSpreader.Publish(*fact);
+  aExchange->Respond(JsonResponse(200, "{}"));
+}
+
+QuarantineVerdict
+QuarantineAgent::Check(const std::string& aFingerprint,
+                       const CrashWatch& aInFlight) const
+{
+  // Nearly all requests are no suspects and need no list of those in flight.
+  if (!mQuarantine.IsSuspect(aFingerprint)) {
+    return mQuarantine.Check(aFingerprint, {}, WallNow());
+  }
+  return mQuarantine.Check(aFingerprint, aInFlight.InFlight(), WallNow());
+}
+
+bool
+QuarantineAgent::IsQuarantined(const Call& aCall) const
+{
+  return mQuarantine.IsQuarantined(FingerprintOf(aCall), WallNow());
+}
+
+bool
+QuarantineAgent::MayRetry(const Call& aCall) const
+{
+  return mQuarantine.Check(FingerprintOf(aCall), {}, WallNow()) ==
+         QuarantineVerdict::Run;
+}
+
+} // namespace papayaway
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -6,6 +6,7 @@
 #include <net/Http.h>
 
 #include "Outcomes.h"
+#include "QuarantineAgent.h"
 
 namespace papayaway {
 
@@ -48,6 +49,7 @@
   , mExpiredInQueue(RefusalCounter(aMetrics, "expired-in-queue"))
   , mNotConnected(RefusalCounter(aMetrics, "not-connected"))
   , mKeysFull(RefusalCounter(aMetrics, "keys-full"))
+  , mQuarantine(RefusalCounter(aMetrics, "quarantine"))
 {
 }
 
@@ -81,8 +83,10 @@
   const ServedId id = mNextId++;
   const Millis now = SteadyNow();
   const Millis deadline = now + aCall.mTimeLeft;
+  std::string fingerprint = FingerprintOf(aCall);
   mServed.emplace(id,
                   Served{ .mCall = std::move(aCall),
+                          .mFingerprint = std::move(fingerprint),
                           .mCallback = std::move(aCallback),
                           .mArrived = now,
                           .mDeadline = deadline });
@@ -104,6 +108,12 @@
            mRefusals.mNotReady);
     return;
   }
+  const QuarantineVerdict verdict =
+    mHandlers.mVerdict(served.mFingerprint, mWatch);
+  if (verdict != QuarantineVerdict::Run) {
+    RefuseSuspect(aId, verdict);
+    return;
+  }
   if (!call.mIdempotent) {
     if (!mHandlers.mAdmitExposure(call)) {
       Refuse(aId, ExposureRefusal(), mRefusals.mExposure);
@@ -124,42 +134,6 @@
   }
 }
 
-bool
-TargetProxy::AdmitKey(ServedId aId)
-{
-  const Call& call = mServed.at(aId).mCall;
-  const KeyAnswer answer =
-    mKeys.Admit(call.mService,
-                call.mKey,
-                RequestHash(call.mMethod, call.mPath + call.mQuery, call.mBody),
-                aId,
-                SteadyNow());
-  switch (answer.mAdmission) {
-    case KeyAdmission::Run:
-      return true;
-    case KeyAdmission::Joined:
-      return false;
-    case KeyAdmission::Replay:
-      Finish(aId,
-             { .mStatus = answer.mResponse->mStatus,
-               .mHeaders = answer.mResponse->mHeaders,
-               .mBody = answer.mResponse->mBody,
-               .mOutcome = Outcome::Ran });
-      return false;
-    case KeyAdmission::Unknown:
-      Finish(aId, UnknownReply(502, "the outcome of this key is not known"));
-      return false;
-    case KeyAdmission::Full:
-      mRefusals.mKeysFull.Increment();
-      Finish(aId, NotRunReply(503, "too many keys are remembered"));
-      return false;
-    case KeyAdmission::Mismatch:
-      Finish(aId, NotRunReply(422, "the key belongs to another request"));
-      return false;
-  }
-  return false;
-}
-
 bool
 TargetProxy::HasTargetFor(const Call& aCall) const
 {
@@ -173,15 +147,19 @@
 {
   // A refusal may offer the call again before it returns, but Send() runs no
   // callback: so every started call is still there.
-  std::vector<ServedId> gone;
+  std::vector<std::pair<ServedId, QuarantineVerdict>> blocked;
   for (std::size_t i = 0; i < aActions.mStart.size(); ++i) {
     const ServedId id = aActions.mStart[i];
-    if (HasTargetFor(mServed.at(id).mCall)) {
+    const Served& served = mServed.at(id);
+    const QuarantineVerdict verdict =
+      mHandlers.mVerdict(served.mFingerprint, mWatch);
+    if (HasTargetFor(served.mCall) && verdict == QuarantineVerdict::Run) {
       Send(id);
       continue;
     }
-    // The target went away or was replaced while the call waited.
-    gone.push_back(id);
+    // The target went away or was replaced, or a crash made the request a
+    // suspect, while the call waited.
+    blocked.emplace_back(id, verdict);
     const AdmissionActions next =
       mAdmission.OnFinished(CallEnd::Other, {}, SteadyNow());
     aActions.mStart.insert(
@@ -190,8 +168,13 @@
       aActions.mRefuse.end(), next.mRefuse.begin(), next.mRefuse.end());
   }
   WatchQueue();
-  for (const ServedId id : gone) {
-    if (mServed.contains(id)) {
+  for (const auto& [id, verdict] : blocked) {
+    if (!mServed.contains(id)) {
+      continue;
+    }
+    if (verdict != QuarantineVerdict::Run) {
+      RefuseSuspect(id, verdict);
+    } else {
       Refuse(id, NotRunReply(503, "the target is gone"), mRefusals.mNotReady);
     }
   }
@@ -249,6 +232,8 @@
     http.mRequest.mHeaders.Set(std::string(kAttemptHeader),
                                std::to_string(call.mAttempt));
   }
+  mWatch.OnSent(aId, served.mFingerprint, now);
+  mTargetService = call.mService;
   served.mAtTarget = true;
   served.mSent = now;
   mContext.mMetrics.mServed.Increment();
@@ -260,6 +245,17 @@
 void
 TargetProxy::OnResult(ServedId aId, HttpResult aResult)
 {
+  const bool refused = aResult.mFailure == HttpFailure::NotConnected;
+  // A request that is sent again on a new connection has run before.
+  if (aResult.mFailure == HttpFailure::ConnectionLost ||
+      (refused && aResult.mMayHaveRun)) {
+    mWatch.OnBroken(aId, SteadyNow());
+  } else {
+    mWatch.OnEnded(aId);
+  }
+  if (refused) {
+    mTarget.OnRefusedConnection();
+  }
   const auto found = mServed.find(aId);
   if (found == mServed.end()) {
     OnTargetFree(CallEnd::Other, {});
@@ -268,8 +264,7 @@
   Served& served = found->second;
   served.mAtTarget = false;
   const Call& call = served.mCall;
-  if (aResult.mFailure == HttpFailure::NotConnected && !aResult.mMayHaveRun) {
-    mTarget.OnRefusedConnection();
+  if (refused && !aResult.mMayHaveRun) {
     Refuse(aId,
            NotRunReply(503, "the target does not accept connections"),
            mRefusals.mNotConnected);
@@ -282,6 +277,9 @@
   if (reply.mOutcome == Outcome::NotRun && served.mExposed) {
     mHandlers.mReleaseExposure(call);
   }
+  if (reply.mOutcome == Outcome::Ran) {
+    mHandlers.mRan(call.mService, served.mFingerprint);
+  }
   if (reply.mOutcome != Outcome::NotRun) {
     const bool failed =
       reply.mOutcome == Outcome::Unknown || reply.mStatus >= 500;
@@ -294,40 +292,6 @@
   Finish(aId, std::move(reply));
 }
 
-void
-TargetProxy::FinishKey(const Call& aCall, const Reply& aReply)
-{
-  const Millis now = SteadyNow();
-  std::vector<std::uint64_t> waiters;
-  switch (aReply.mOutcome) {
-    case Outcome::Ran:
-      waiters =
-        mKeys.Complete(aCall.mService,
-                       aCall.mKey,
-                       { aReply.mStatus, aReply.mHeaders, aReply.mBody },
-                       now);
-      break;
-    case Outcome::NotRun:
-      waiters = mKeys.Abandon(aCall.mService, aCall.mKey);
-      break;
-    case Outcome::Unknown:
-      waiters = mKeys.MarkUnknown(aCall.mService, aCall.mKey, now);
-      break;
-  }
-  AnswerWaiters(waiters, aReply);
-}
-
-void
-TargetProxy::AnswerWaiters(const std::vector<std::uint64_t>& aWaiters,
-                           const Reply& aReply)
-{
-  for (const std::uint64_t waiter : aWaiters) {
-    if (mServed.contains(waiter) && !mServed.at(waiter).mAtTarget) {
-      Finish(waiter, aReply);
-    }
-  }
-}
-
 void
 TargetProxy::Refuse(ServedId aId,
                     const Reply& aReply,
@@ -344,6 +308,24 @@
   Finish(aId, aReply);
 }
 
+void
+TargetProxy::RefuseSuspect(ServedId aId, QuarantineVerdict aVerdict)
+{
+  Refuse(aId,
+         aVerdict == QuarantineVerdict::Refuse
+           ? NotRunReply(422, "the request is quarantined")
+           : NotRunReply(503,
+                         "the request was in flight when a target crashed and "
+                         "can't run here now"),
+         mRefusals.mQuarantine);
+}
+
+void
+TargetProxy::OnTargetRestarted()
+{
+  mHandlers.mCrashed(mTargetService, mWatch.TakeCrashed(SteadyNow()));
+}
+
 void
 TargetProxy::Finish(ServedId aId, Reply aReply)
 {
@@ -369,6 +351,7 @@
   const HttpClient::CallId httpId = found->second.mHttpId;
   mServed.erase(found);
   if (atTarget) {
+    mWatch.OnEnded(aId);
     mClient.Cancel(httpId);
   } else {
     mAdmission.Cancel(aId);
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -10,8 +10,10 @@
 #include <keys/KeyLedger.h>
 #include <net/HttpClient.h>
 #include <traffic/AdmissionQueue.h>
+#include <traffic/Quarantine.h>
 #include <wire/Messages.h>
 
+#include "CrashWatch.h"
 #include "LocalTarget.h"
 #include "NodeContext.h"
 
@@ -29,6 +31,18 @@
   std::function<void(const Call&)> mReleaseExposure;
   /** A call has ended at the target. */
   std::function<void(const Call&, bool aFailed, Millis aLatency)> mObserved;
+  /** @return whether a request may run beside those in flight. */
+  std::function<QuarantineVerdict(const std::string& aFingerprint,
+                                  const CrashWatch& aInFlight)>
+    mVerdict;
+  /** The target crashed with these requests in flight. */
+  std::function<void(const std::string& aService,
+                     std::vector<std::string> aFingerprints)>
+    mCrashed;
+  /** The target answered a request. */
+  std::function<void(const std::string& aService,
+                     const std::string& aFingerprint)>
+    mRan;
 };
 
 /** Gives calls to the target of this host, within its slots. */
@@ -49,6 +63,10 @@
    *  goes on, so that its outcome is known. */
   void Cancel(ServedId aId);
 
+  /** Another process took the place of the target, or it refused a
+   *  connection. */
+  void OnTargetRestarted();
+
   /** @return calls at the target and in the queue. */
   [[nodiscard]] std::size_t Load() const;
 
@@ -65,11 +83,13 @@
     prometheus::Counter& mExpiredInQueue;
     prometheus::Counter& mNotConnected;
     prometheus::Counter& mKeysFull;
+    prometheus::Counter& mQuarantine;
   };
 
   struct Served
   {
     Call mCall;
+    std::string mFingerprint;
     ReplyCallback mCallback;
     Millis mArrived;
     Millis mDeadline;
@@ -88,6 +108,7 @@
   void Send(ServedId aId);
   void OnResult(ServedId aId, HttpResult aResult);
   void Refuse(ServedId aId, const Reply& aReply, prometheus::Counter& aReason);
+  void RefuseSuspect(ServedId aId, QuarantineVerdict aVerdict);
   void Finish(ServedId aId, Reply aReply);
   bool AdmitKey(ServedId aId);
   void FinishKey(const Call& aCall, const Reply& aReply);
@@ -102,6 +123,8 @@
   ServedId mNextId = 1;
   std::unordered_map<ServedId, Served> mServed;
   AdmissionQueue mAdmission;
+  CrashWatch mWatch;
+  std::string mTargetService;
   RefusalCounters mRefusals;
   prometheus::Gauge& mQueueLength;
   bool mWatchingQueue = false;
--- a/libs/timeline/include/timeline/Event.h
+++ b/libs/timeline/include/timeline/Event.h
@@ -36,6 +36,7 @@
   RecordsDropped,
   ConductorChanged,
   OwnershipChanged,
+  TargetCrashed,
 };
 
 /** @return the name, for example "document-applied". */
--- a/libs/timeline/src/Event.cpp
+++ b/libs/timeline/src/Event.cpp
@@ -35,6 +35,7 @@
   Name{ EventKind::RecordsDropped, "records-dropped" },
   Name{ EventKind::ConductorChanged, "conductor-changed" },
   Name{ EventKind::OwnershipChanged, "ownership-changed" },
+  Name{ EventKind::TargetCrashed, "target-crashed" },
 };
 
 tl::unexpected<Error>
--- a/libs/timeline/tests/TimelineTest.cpp
+++ b/libs/timeline/tests/TimelineTest.cpp
@@ -60,7 +60,7 @@
 // Guards against kinds without a name and fields lost between node and ctl.
 TEST(Event, JsonFormReadsBackEqual)
 {
-  for (int kind = 0; kind <= static_cast<int>(EventKind::OwnershipChanged);
+  for (int kind = 0; kind <= static_cast<int>(EventKind::TargetCrashed);
        ++kind) {
     const Event event{ .mTime = { 17, 2, "n1" },
                        .mPart = "proxy",
--- a/libs/traffic/include/traffic/Quarantine.h
+++ b/libs/traffic/include/traffic/Quarantine.h
@@ -12,7 +12,9 @@
 #include <vector>
 
 #include <base/Millis.h>
+#include <wire/Bounds.h>
 #include <wire/Facts.h>
+#include <wire/Messages.h>
 
 namespace papayaway {
 
@@ -33,17 +35,6 @@
 /** @return the fingerprint as 16 hexadecimal digits. */
 std::string RequestFingerprint(const RequestIdentity& aIdentity);
 
-/** The requests that were in flight when a target crashed. */
-struct CrashReport
-{
-  /** Unique per crash, for example node, incarnation and count. */
-  std::string mId;
-  std::string mService;
-  std::vector<std::string> mFingerprints;
-
-  bool operator==(const CrashReport&) const = default;
-};
-
 /** What to do with a request. Other verdicts than Run are refusals before
  *  the request runs. */
 enum class QuarantineVerdict
@@ -78,7 +69,7 @@
   static constexpr Millis kHold = Seconds(5);
   static constexpr std::size_t kMaxCrashes = 128;
   /** Larger reports are ignored: they tell nothing of a single request. */
-  static constexpr std::size_t kMaxFingerprints = 128;
+  static constexpr std::size_t kMaxFingerprints = kMaxCrashSuspects;
   static constexpr std::size_t kMaxQuarantined = 1024;
 
   /** Takes in a crash of the own target or of another node's.
--- a/libs/wire/include/wire/Bounds.h
+++ b/libs/wire/include/wire/Bounds.h
@@ -15,6 +15,9 @@
 constexpr std::size_t kMaxHeaderValue = std::size_t{ 16 } << 10;
 constexpr std::size_t kMaxHeaders = 128;
 constexpr std::size_t kMaxFactsInMessage = 4096;
+/** Requests in flight in a crash report. Larger reports tell nothing of a
+ *  single request. */
+constexpr std::size_t kMaxCrashSuspects = 128;
 /** Incarnations, sequences and versions: exact as a double, and far enough
  *  from the end of the type that a reader can add one. */
 constexpr std::uint64_t kMaxCounter = std::uint64_t{ 1 } << 53;
--- a/libs/wire/include/wire/Messages.h
+++ b/libs/wire/include/wire/Messages.h
@@ -195,6 +195,24 @@
   bool operator==(const ErrorMessage&) const = default;
 };
 
+/** The requests that were in flight when a target crashed. */
+struct CrashReport
+{
+  /** Unique per crash, for example node, incarnation and count. */
+  std::string mId;
+  std::string mService;
+  std::vector<std::string> mFingerprints;
+  bool operator==(const CrashReport&) const = default;
+};
+
+/** Tells that a target answered a request that was in flight at a crash. */
+struct SuspectRan
+{
+  std::string mService;
+  std::string mFingerprint;
+  bool operator==(const SuspectRan&) const = default;
+};
+
 using Message = std::variant<Hello,
                              Heartbeat,
                              Facts,
@@ -210,7 +228,9 @@
                              KeyOutcome,
                              Evidence,
                              RecordCopy,
-                             ErrorMessage>;
+                             ErrorMessage,
+                             CrashReport,
+                             SuspectRan>;
 
 /** @return the CBOR form of aMessage. */
 std::string Encode(const Message& aMessage);
--- a/libs/wire/src/MessageFields.h
+++ b/libs/wire/src/MessageFields.h
@@ -172,4 +172,24 @@
   aFields.Bytes("x", aMessage.mText, kMaxLine);
 }
 
+void
+Describe(auto& aFields, Like<CrashReport> auto& aMessage)
+{
+  aFields.Text("i", aMessage.mId, kMaxName);
+  aFields.Text("v", aMessage.mService, kMaxName);
+  aFields.List("f",
+               aMessage.mFingerprints,
+               kMaxCrashSuspects,
+               [](auto& aItem, auto& aFingerprint) {
+                 aItem.Text("f", aFingerprint, kMaxName);
+               });
+}
+
+void
+Describe(auto& aFields, Like<SuspectRan> auto& aMessage)
+{
+  aFields.Text("v", aMessage.mService, kMaxName);
+  aFields.Text("f", aMessage.mFingerprint, kMaxName);
+}
+
 } // namespace papayaway
--- a/libs/wire/tests/MessagesTest.cpp
+++ b/libs/wire/tests/MessagesTest.cpp
@@ -98,7 +98,10 @@
       name, name, name, name, counter, counter, real, real)),
     Wrapped(construct<RecordCopy>(
       name, counter, counter, counter, AnyBytes(), AnyBytes(), flag)),
-    Wrapped(construct<ErrorMessage>(AnyBytes())));
+    Wrapped(construct<ErrorMessage>(AnyBytes())),
+    Wrapped(construct<CrashReport>(
+      name, name, rc::gen::container<std::vector<std::string>>(name))),
+    Wrapped(construct<SuspectRan>(name, name)));
 }
 
 std::string
@@ -192,14 +195,14 @@
   ASSERT_TRUE(Decode(CborOf(changed("t", 1))));
   const std::vector<BadMessage> cases{
     { "not a map", nlohmann::json::array() },
-    { "unknown message", { { "t", 16 } } },
+    { "unknown message", { { "t", 18 } } },
     { "negative type", { { "t", -1 } } },
     { "missing field", { { "t", 1 } } },
     { "wrong type", { { "t", 1 }, { "c", "1" } } },
     { "beyond a counter", { { "t", 1 }, { "c", kMaxCounter + 1 } } },
     { "wrong count of buckets",
       { { "t", 6 }, { "v", 1 }, { "b", { 1 } }, { "w", true } } },
-    { "unknown kind of fact", changed("k", 5) },
+    { "unknown kind of fact", changed("k", 6) },
     { "enumerator out of range",
       { { "t", 2 },
         { "f",
