Record the requests of customers and export the records

Cause: the record libraries were not used by the daemon, so no request of a customer was recorded.

Change: RecordAgent appends a record for each request with a customer, stores batches in the object store and sends copies to one mesh neighbour, in the own data centre if possible and never in another region. When a node dies, leaves or starts again, its neighbour stores the copies. A planned stop stores what is left, within the drain timeout. GET /v1/export and "papayawayctl export" print the merged records; gaps and unreadable objects are named and give exit code 5. An export is refused above 8 MiB, and one runs at a time. Requests that the entry node refuses before it chooses an endpoint are recorded too. The largest answer that papayawayctl reads is 16 MiB.

An export shows nothing of the records that are not stored yet, up to about 2 s, and can't tell a killed incarnation whose last records are lost from one that still runs.

--- a/libs/ctl/include/ctl/CommandLine.h
+++ b/libs/ctl/include/ctl/CommandLine.h
@@ -22,7 +22,7 @@
   /** Another promotion took effect first. */
   LostRace = 3,
   OutcomeUnknown = 4,
-  /** Some nodes could not be asked. */
+  /** Some nodes could not be asked, or records are missing. */
   Partial = 5,
 };
 
--- a/libs/ctl/include/ctl/Commands.h
+++ b/libs/ctl/include/ctl/Commands.h
@@ -40,6 +40,10 @@
 ExitCode RunDrain(CtlContext& aContext);
 ExitCode RunRelease(CtlContext& aContext);
 
+/** Prints the stored records of a customer; gaps go to mErr.
+ *  @return Partial if records are missing. */
+ExitCode RunExport(CtlContext& aContext);
+
 /**
  * The whole program.
  *
--- a/libs/ctl/src/AdminClient.cpp
+++ b/libs/ctl/src/AdminClient.cpp
@@ -10,6 +10,8 @@
 
 // Calls that are open at a time when all members are asked.
 constexpr std::size_t kMaxOpenCalls = 64;
+// An export of 8 MiB with every quote of its lines escaped.
+constexpr std::size_t kMaxAnswer = std::size_t{ 16 } << 20;
 
 AdminReply
 ToReply(const std::string& aAddress, HttpResult aResult)
@@ -51,7 +53,7 @@
 }
 
 AdminClient::AdminClient(std::string aToken, Millis aTimeout)
-  : mClient(mLoop, {})
+  : mClient(mLoop, { .mMaxBody = kMaxAnswer })
   , mToken(std::move(aToken))
   , mTimeout(aTimeout)
 {
--- a/libs/ctl/src/CommandLine.cpp
+++ b/libs/ctl/src/CommandLine.cpp
@@ -40,6 +40,7 @@
     { "drain", "", 0, 0, "drain the target of the one node given" },
     { "release", "FINGERPRINT", 1, 1, "release a quarantined request" },
     { "document", "[--environment E]", 0, 0, "print the document in force" },
+    { "export", "CUSTOMER", 1, 1, "print the stored records of a customer" },
   };
   return rules;
 }
@@ -256,18 +257,19 @@
     usage.resize(std::max<std::size_t>(usage.size(), 42), ' ');
     text << "  " << usage << rule.mSummary << "\n";
   }
-  text << "\n"
-       << CommonOptions() << "\n"
-       << PromotionOptions() << "\n"
-       << TimelineOptions()
-       << "  --node NAME           events of this node\n\n"
-          "Exit codes:\n"
-          "  0  done\n"
-          "  1  refused or failed\n"
-          "  2  wrong use, or findings\n"
-          "  3  lost a race: another promotion took effect first\n"
-          "  4  the outcome is unknown\n"
-          "  5  partial: some nodes could not be asked\n";
+  text
+    << "\n"
+    << CommonOptions() << "\n"
+    << PromotionOptions() << "\n"
+    << TimelineOptions()
+    << "  --node NAME           events of this node\n\n"
+       "Exit codes:\n"
+       "  0  done\n"
+       "  1  refused or failed\n"
+       "  2  wrong use, or findings\n"
+       "  3  lost a race: another promotion took effect first\n"
+       "  4  the outcome is unknown\n"
+       "  5  partial: some nodes could not be asked, or records are missing\n";
   return text.str();
 }
 
--- a/libs/ctl/tests/CommandsTest.cpp
+++ b/libs/ctl/tests/CommandsTest.cpp
@@ -286,6 +286,32 @@
   EXPECT_EQ(node.Requests().at(1).mBody, R"({"fingerprint":"0123abcd"})");
 }
 
+// Guards against an export with gaps that is taken for a complete one.
+TEST(ExportCommand, NamesGapsAndSaysPartial)
+{
+  FakeNode node(
+    { { "GET /v1/export",
+        { JsonResponse(200,
+                       R"({"complete":false,"incarnations":[{"node":"n",
+"incarnation":5,"gaps":[{"first":2,"last":3,"dropped":true},
+{"first":7,"last":7,"dropped":false}],"lines":"{\"sequence\":1}\n"}],
+"findings":[]})"),
+          JsonResponse(200, R"({"complete":true,"incarnations":[]})"),
+          JsonResponse(503, "{}") } } });
+  const std::vector<std::string> command = {
+    "export", "a b", "--node", node.Address()
+  };
+  const RunResult partial = Ctl(command);
+  EXPECT_EQ(partial.mCode, ExitCode::Partial);
+  EXPECT_EQ(partial.mOut, "{\"sequence\":1}\n");
+  EXPECT_EQ(partial.mErr,
+            "node n, incarnation 5: records 2 to 3 were dropped for lack of "
+            "memory\nnode n, incarnation 5: records 7 to 7 are missing\n");
+  EXPECT_EQ(node.Requests().at(0).QueryValue("customer"), "a b");
+  EXPECT_EQ(Ctl(command).mCode, ExitCode::Done);
+  EXPECT_EQ(Ctl(command).mCode, ExitCode::Failed);
+}
+
 TEST(CommandLine, WrongUseIsExplained)
 {
   const std::vector<std::vector<std::string>> wrong = {
@@ -301,6 +327,7 @@
     { "promote", "file", "--from", "trial", "--node", "127.0.0.1:1" },
     { "promote", "--from", "production", "--node", "127.0.0.1:1" },
     { "drain", "--node", "127.0.0.1:1", "--node", "127.0.0.1:2" },
+    { "export", "--node", "127.0.0.1:1" },
     { "diff", "@other", "@trial", "--node", "127.0.0.1:1" },
   };
   for (const auto& arguments : wrong) {
--- /dev/null
+++ b/libs/node/src/EntryChoice.cpp
@@ -0,0 +1,81 @@
+#include "EntryProxy.h"
+
+#include <algorithm>
+
+#include <base/Hash.h>
+
+// How EntryProxy chooses the version and the endpoint of a call.
+
+namespace papayaway {
+
+namespace {
+
+bool
+Contains(const std::vector<std::string>& aList, std::string_view aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+} // namespace
+
+std::string
+EntryProxy::ChooseVersion(const ActiveCall& aActive)
+{
+  const Call& call = aActive.mCall;
+  int sum = 0;
+  for (const VersionShare& share : mTable->Shares(call.mService)) {
+    sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
+  }
+  if (sum == 0) {
+    return {};
+  }
+  // The same key draws the same version, so that its repetition finds the
+  // recorded outcome.
+  const std::uint64_t draw =
+    call.mIdempotent ? mContext.mRandom() : Hash64(call.mKey);
+  int point = static_cast<int>(draw % static_cast<std::uint64_t>(sum));
+  for (const VersionShare& share : mTable->Shares(call.mService)) {
+    if (Contains(aActive.mExcludedVersions, share.mName)) {
+      continue;
+    }
+    point -= share.mShare;
+    if (point < 0) {
+      return share.mName;
+    }
+  }
+  return {};
+}
+
+const Endpoint*
+EntryProxy::Choose(ActiveCall& aActive)
+{
+  Call& call = aActive.mCall;
+  call.mVersion = ChooseVersion(aActive);
+  if (call.mVersion.empty()) {
+    return nullptr;
+  }
+  if (call.mIdempotent) {
+    return mPicker.Pick(*mTable,
+                        { .mService = call.mService,
+                          .mVersion = call.mVersion,
+                          .mDataCentre = mContext.mSettings.mDataCentre,
+                          .mRegion = mContext.mSettings.mRegion,
+                          .mExcluded = aActive.mExcludedNodes,
+                          .mNow = SteadyNow() },
+                        mContext.mRandom);
+  }
+  const Endpoint* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (const Endpoint& endpoint :
+       mTable->Endpoints(call.mService, call.mVersion)) {
+    const std::uint64_t rank = Hash64(call.mKey, Hash64(endpoint.mNode));
+    if (!Contains(aActive.mExcludedNodes, endpoint.mNode) &&
+        (best == nullptr || rank > bestRank)) {
+      best = &endpoint;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+} // namespace papayaway
--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include <base/Hash.h>
-
 #include "Outcomes.h"
 
 namespace papayaway {
@@ -27,12 +25,6 @@
   return value;
 }
 
-bool
-Contains(const std::vector<std::string>& aList, std::string_view aText)
-{
-  return std::find(aList.begin(), aList.end(), aText) != aList.end();
-}
-
 Call
 CallOf(const HttpRequest& aRequest, const Route& aRoute)
 {
@@ -95,10 +87,11 @@
   }
   const RouteMatch match = mTable->FindRoute(request.mMethod, request.mPath);
   if (match.mRoute == nullptr) {
-    Respond(*aExchange,
-            match.mMethodNotAllowed
-              ? NotRunReply(405, "the route does not take this method")
-              : NotRunReply(404, "no route matches the path"));
+    Refuse(*aExchange,
+           { .mMethod = request.mMethod },
+           match.mMethodNotAllowed
+             ? NotRunReply(405, "the route does not take this method")
+             : NotRunReply(404, "no route matches the path"));
     return;
   }
   ActiveCall active{ .mExchange = aExchange,
@@ -107,23 +100,24 @@
   const Call& call = active.mCall;
   if (!call.mIdempotent &&
       (call.mKey.empty() || call.mKey.size() > kMaxKeyLength)) {
-    Respond(*aExchange,
-            NotRunReply(400,
-                        "the route needs an Idempotency-Key of at most 256 "
-                        "characters"));
+    Refuse(*aExchange,
+           call,
+           NotRunReply(400,
+                       "the route needs an Idempotency-Key of at most 256 "
+                       "characters"));
     return;
   }
   if (mHandlers.mIsQuarantined(call)) {
-    Respond(*aExchange, NotRunReply(422, "the request is quarantined"));
+    Refuse(*aExchange, call, NotRunReply(422, "the request is quarantined"));
     return;
   }
   if (mCalls.size() >= kMaxActiveCalls) {
     mTooManyCalls.Increment();
-    Respond(*aExchange, NotRunReply(503, "too many calls are in flight here"));
+    Refuse(
+      *aExchange, call, NotRunReply(503, "too many calls are in flight here"));
     return;
   }
-  active.mCustomer = std::string(
-    request.mHeaders.Value(mTable->SourceDocument().mCustomerHeader));
+  active.mCustomer = CustomerOf(request);
   active.mDeadline = active.mArrived + call.mTimeLeft;
   active.mLastReply = NotRunReply(503, "no endpoint is ready");
   const std::uint64_t id = mNextId++;
@@ -141,63 +135,20 @@
 }
 
 std::string
-EntryProxy::ChooseVersion(const ActiveCall& aActive)
+EntryProxy::CustomerOf(const HttpRequest& aRequest) const
 {
-  const Call& call = aActive.mCall;
-  int sum = 0;
-  for (const VersionShare& share : mTable->Shares(call.mService)) {
-    sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
-  }
-  if (sum == 0) {
-    return {};
-  }
-  // The same key draws the same version, so that its repetition finds the
-  // recorded outcome.
-  const std::uint64_t draw =
-    call.mIdempotent ? mContext.mRandom() : Hash64(call.mKey);
-  int point = static_cast<int>(draw % static_cast<std::uint64_t>(sum));
-  for (const VersionShare& share : mTable->Shares(call.mService)) {
-    if (Contains(aActive.mExcludedVersions, share.mName)) {
-      continue;
-    }
-    point -= share.mShare;
-    if (point < 0) {
-      return share.mName;
-    }
-  }
-  return {};
+  return std::string(
+    aRequest.mHeaders.Value(mTable->SourceDocument().mCustomerHeader));
 }
 
-const Endpoint*
-EntryProxy::Choose(ActiveCall& aActive)
+void
+EntryProxy::Refuse(HttpExchange& aExchange,
+                   const Call& aCall,
+                   const Reply& aReply)
 {
-  Call& call = aActive.mCall;
-  call.mVersion = ChooseVersion(aActive);
-  if (call.mVersion.empty()) {
-    return nullptr;
-  }
-  if (call.mIdempotent) {
-    return mPicker.Pick(*mTable,
-                        { .mService = call.mService,
-                          .mVersion = call.mVersion,
-                          .mDataCentre = mContext.mSettings.mDataCentre,
-                          .mRegion = mContext.mSettings.mRegion,
-                          .mExcluded = aActive.mExcludedNodes,
-                          .mNow = SteadyNow() },
-                        mContext.mRandom);
-  }
-  const Endpoint* best = nullptr;
-  std::uint64_t bestRank = 0;
-  for (const Endpoint& endpoint :
-       mTable->Endpoints(call.mService, call.mVersion)) {
-    const std::uint64_t rank = Hash64(call.mKey, Hash64(endpoint.mNode));
-    if (!Contains(aActive.mExcludedNodes, endpoint.mNode) &&
-        (best == nullptr || rank > bestRank)) {
-      best = &endpoint;
-      bestRank = rank;
-    }
-  }
-  return best;
+  const std::string customer = CustomerOf(aExchange.Request());
+  Respond(aExchange, aReply);
+  mHandlers.mAnswered(aCall, customer, aReply.mStatus, aReply.mOutcome);
 }
 
 void
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -90,6 +90,9 @@
   void CancelAttempt(const ActiveCall& aActive);
   void Answer(std::uint64_t aId, const Reply& aReply);
   void Respond(HttpExchange& aExchange, const Reply& aReply);
+  /** Answers a call that was not sent to an endpoint. */
+  void Refuse(HttpExchange& aExchange, const Call& aCall, const Reply& aReply);
+  [[nodiscard]] std::string CustomerOf(const HttpRequest& aRequest) const;
 
   NodeContext& mContext;
   PeerLinks& mLinks;
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -20,6 +20,8 @@
 #include "PeerLinks.h"
 #include "PlatformAgent.h"
 #include "QuarantineAgent.h"
+#include "RecordAgent.h"
+#include "RecordExporter.h"
 #include "Reports.h"
 #include "TargetProxy.h"
 
@@ -45,6 +47,8 @@
   PlatformAgent mPlatform;
   MoveAgent mMoves;
   QuarantineAgent mQuarantine;
+  RecordAgent mRecords;
+  RecordExporter mExporter;
   AdminApi mAdmin;
   std::unique_ptr<HttpServer> mCallerServer;
   std::unique_ptr<HttpServer> mAdminServer;
@@ -109,7 +113,13 @@
         mLinks,
         mSpreader.Store(),
         mTargetProxy,
-        { .mAnswered = [](const Call&, const std::string&, int, Outcome) {},
+        { .mAnswered =
+            [this](const Call& aCall,
+                   const std::string& aCustomer,
+                   int aStatus,
+                   Outcome aOutcome) {
+              mRecords.OnAnswered(aCall, aCustomer, aStatus, aOutcome);
+            },
           .mIsQuarantined =
             [this](const Call& aCall) {
               return mQuarantine.IsQuarantined(aCall);
@@ -124,6 +134,8 @@
              mPlatform.Client(),
              [this] { return mPlatform.IsRelay(); })
     , mQuarantine(mContext, mLinks, mSpreader)
+    , mRecords(mContext, mLinks, mPlatform.Client())
+    , mExporter(mPlatform.Client())
     , mAdmin(mContext)
     , mStopTimer(aLoop, [this] { ContinueStop(); })
   {
@@ -179,6 +191,7 @@
   mPlatform.Start(mAdminServer->Address());
   mMoves.Start();
   mQuarantine.Start();
+  mRecords.Start();
   return {};
 }
 
@@ -253,6 +266,10 @@
     "POST", "/v1/release", Access::Operator, [this](const Exchange& aExchange) {
       mQuarantine.OnRelease(aExchange);
     });
+  mAdmin.Add(
+    "GET", "/v1/export", Access::Operator, [this](const Exchange& aExchange) {
+      mExporter.OnRequest(aExchange);
+    });
   mAdmin.Add(
     "GET", "/metrics", Access::Open, [this](const Exchange& aExchange) {
       aExchange->Respond({ .mStatus = 200,
@@ -301,6 +318,8 @@
       mSpreader.OnDocumentRequest(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, Evidence>) {
       mMoves.OnEvidence(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, RecordCopy>) {
+      mRecords.OnCopy(aAlternative);
     } else if constexpr (std::is_same_v<T, CrashReport>) {
       mQuarantine.OnCrashReport(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, SuspectRan>) {
@@ -344,6 +363,7 @@
   mMembers.OnFact(aFact);
   mMoves.OnFact(aFact);
   mQuarantine.OnFact(aFact);
+  mRecords.OnFact(aFact);
 }
 
 void
@@ -393,9 +413,13 @@
 {
   const bool idle = mEntry.InFlight() == 0 && mTargetProxy.Load() == 0 &&
                     mCallerServer->InFlight() == 0;
-  if (!idle && SteadyNow() < mStopDeadline) {
+  if (idle) {
+    mRecords.Finish();
+  }
+  if ((!idle || !mRecords.IsStored()) && SteadyNow() < mStopDeadline) {
     return;
   }
+  mRecords.SendCopies();
   mStopTimer.Stop();
   mMoves.Stop();
   mMembers.Leave();
--- a/libs/node/src/Outcomes.cpp
+++ b/libs/node/src/Outcomes.cpp
@@ -80,6 +80,17 @@
   return reply;
 }
 
+CallEnd
+EndOf(const Reply& aReply)
+{
+  if (aReply.mOutcome == Outcome::Unknown && aReply.mStatus == 504) {
+    return CallEnd::TimedOut;
+  }
+  return aReply.mOutcome == Outcome::Ran && aReply.mStatus < 500
+           ? CallEnd::Answered
+           : CallEnd::Other;
+}
+
 bool
 IsExposureRefusal(const Reply& aReply)
 {
--- a/libs/node/src/Outcomes.h
+++ b/libs/node/src/Outcomes.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include <net/HttpClient.h>
+#include <traffic/AdmissionQueue.h>
 #include <wire/Messages.h>
 
 namespace papayaway {
@@ -31,6 +32,11 @@
 /** @return the reply for what a target answered or failed to answer. */
 Reply ReplyOf(HttpResult aResult);
 
+/** @return how a call ended for the estimate of the target's latency. Failures
+ *    and refusals of the target are often much faster than answers and would
+ *    lower the baseline, so they do not count. */
+CallEnd EndOf(const Reply& aReply);
+
 /** @return whether the refusal is one by the exposure budget. */
 bool IsExposureRefusal(const Reply& aReply);
 
--- /dev/null
+++ b/libs/node/src/RecordAgent.cpp
@@ -0,0 +1,260 @@
+#include "RecordAgent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaway {
+
+namespace {
+
+/** Records younger than this are lost if their node dies. */
+constexpr Millis kTickPeriod{ 200 };
+constexpr Millis kOrphanRetry = Seconds(5);
+/** The copies of one neighbour with a full buffer. */
+constexpr std::size_t kMaxHeldBytes = std::size_t{ 4 } << 20;
+/** A running node raises its incarnation, which is the time of its start in
+ *  milliseconds, by one for each refuted suspicion. A larger difference is
+ *  another start. */
+constexpr std::uint64_t kMaxRefutations = 100;
+
+std::string
+FirstIf(const std::vector<LinkInfo>& aLinks, auto aAccepts)
+{
+  // The order of the links differs from one call to the next.
+  std::string first;
+  for (const LinkInfo& link : aLinks) {
+    if (aAccepts(link) && (first.empty() || link.mNode < first)) {
+      first = link.mNode;
+    }
+  }
+  return first;
+}
+
+} // namespace
+
+std::string
+ChooseCopyHolder(const std::vector<LinkInfo>& aLinks,
+                 const std::string& aDataCentre,
+                 const std::string& aRegion,
+                 const std::string& aCurrent)
+{
+  for (const LinkInfo& link : aLinks) {
+    if (link.mNode == aCurrent) {
+      return aCurrent;
+    }
+  }
+  const std::string near = FirstIf(aLinks, [&](const LinkInfo& aLink) {
+    return aLink.mDataCentre == aDataCentre;
+  });
+  return !near.empty() ? near : FirstIf(aLinks, [&](const LinkInfo& aLink) {
+    return aLink.mRegion == aRegion;
+  });
+}
+
+RecordAgent::RecordAgent(NodeContext& aContext,
+                         PeerLinks& aLinks,
+                         PlatformClient& aPlatform)
+  : mContext(aContext)
+  , mLinks(aLinks)
+  , mPlatform(aPlatform)
+  , mBuffer(aContext.mSettings.mName, aContext.mIncarnation)
+  , mHeld(kMaxHeldBytes)
+  , mUnstoredBytes(aContext.mMetrics.Gauge("papayaway_unstored_record_bytes",
+                                           "Bytes of records not stored yet"))
+  , mHeldBytes(aContext.mMetrics.Gauge("papayaway_held_record_bytes",
+                                       "Bytes of copies for other nodes"))
+  , mDroppedRecords(
+      aContext.mMetrics.Gauge("papayaway_dropped_records",
+                              "Records dropped since the start because the "
+                              "memory for them was full"))
+  , mDroppedCopies(
+      aContext.mMetrics.Gauge("papayaway_dropped_record_copies",
+                              "Copies dropped since the start by memory or "
+                              "age"))
+  , mUntracked(aContext.mMetrics.Gauge("papayaway_untracked_requests",
+                                       "Requests since the start without a "
+                                       "record for too many customers"))
+  , mStoredObjects(aContext.mMetrics.Counter("papayaway_stored_records_total",
+                                             "Record objects stored"))
+  , mFailedPuts(aContext.mMetrics.Counter("papayaway_failed_record_puts_total",
+                                          "Record objects not stored"))
+  , mTick(aContext.mLoop, [this] { Tick(); })
+{
+}
+
+void
+RecordAgent::Start()
+{
+  mTick.StartOnce(mContext.Jittered(kTickPeriod));
+}
+
+void
+RecordAgent::OnAnswered(const Call& aCall,
+                        const std::string& aCustomer,
+                        int aStatus,
+                        Outcome aOutcome)
+{
+  if (aCustomer.empty() || mFinished) {
+    return;
+  }
+  mBuffer.Append(aCustomer,
+                 { .mWallTime = WallNow(),
+                   .mMethod = aCall.mMethod,
+                   .mRoute = aCall.mRoute,
+                   .mStatus = aStatus,
+                   .mOutcome = aOutcome },
+                 SteadyNow());
+}
+
+void
+RecordAgent::Tick()
+{
+  mTick.StartOnce(mContext.Jittered(kTickPeriod));
+  mHeld.OnTick(SteadyNow());
+  SendCopies();
+  StoreDue();
+  StoreOrphans();
+  UpdateMetrics();
+}
+
+void
+RecordAgent::SendCopies()
+{
+  const std::string holder = ChooseCopyHolder(mLinks.MeshLinks(),
+                                              mContext.mSettings.mDataCentre,
+                                              mContext.mSettings.mRegion,
+                                              mHolder);
+  if (holder.empty()) {
+    mHolder.clear();
+    return;
+  }
+  std::vector<RecordCopy> copies = mBuffer.TakeCopies();
+  if (holder != mHolder) {
+    copies = mBuffer.AllCopies();
+    mHolder = holder;
+  }
+  for (const RecordCopy& copy : copies) {
+    mLinks.SendToMesh(holder, copy);
+  }
+}
+
+void
+RecordAgent::StoreDue()
+{
+  for (RecordObject& object : mBuffer.TakeDue(SteadyNow())) {
+    const std::string name = object.mName;
+    mPlatform.PutObject(
+      name,
+      std::move(object.mContent),
+      [this, name](const Expected<PlatformClient::Nothing>& aResult) {
+        if (aResult) {
+          mStoredObjects.Increment();
+          mBuffer.OnStored(name);
+        } else {
+          mFailedPuts.Increment();
+          mBuffer.OnStoreFailed(name, SteadyNow(), mContext.mRandom);
+        }
+        if (mFinished) {
+          StoreDue();
+        }
+      });
+  }
+}
+
+void
+RecordAgent::OnCopy(const RecordCopy& aCopy)
+{
+  mHeld.OnCopy(aCopy, SteadyNow());
+}
+
+void
+RecordAgent::OnFact(const Fact& aFact)
+{
+  const auto* const member = std::get_if<MemberFact>(&aFact);
+  if (member == nullptr || member->mNode == mContext.mSettings.mName) {
+    return;
+  }
+  switch (member->mState) {
+    case MemberState::Dead:
+    case MemberState::Left:
+      TakeOrphans(member->mNode, UINT64_MAX);
+      break;
+    case MemberState::Alive:
+      // The node may have been started again before it was missed.
+      TakeOrphans(member->mNode,
+                  member->mIncarnation -
+                    std::min(member->mIncarnation, kMaxRefutations));
+      break;
+    case MemberState::Suspect:
+      break;
+  }
+}
+
+void
+RecordAgent::TakeOrphans(const std::string& aOrigin, std::uint64_t aBelow)
+{
+  for (RecordObject& object : mHeld.Orphans(aOrigin)) {
+    const auto name = ParseRecordObjectName(object.mName);
+    if (name && name->mIncarnation < aBelow) {
+      mOrphans[object.mName].mContent = std::move(object.mContent);
+    }
+  }
+}
+
+void
+RecordAgent::StoreOrphans()
+{
+  const Millis now = SteadyNow();
+  for (auto& [name, orphan] : mOrphans) {
+    if (orphan.mPutting || orphan.mDueAt > now) {
+      continue;
+    }
+    orphan.mPutting = true;
+    mPlatform.PutObject(
+      name,
+      orphan.mContent,
+      [this, name = name](const Expected<PlatformClient::Nothing>& aResult) {
+        if (aResult) {
+          mStoredObjects.Increment();
+          mHeld.OnStored(name);
+          mOrphans.erase(name);
+          return;
+        }
+        mFailedPuts.Increment();
+        Orphan& failed = mOrphans[name];
+        failed.mPutting = false;
+        failed.mDueAt = SteadyNow() + mContext.Jittered(kOrphanRetry);
+      });
+  }
+}
+
+void
+RecordAgent::Finish()
+{
+  if (mFinished) {
+    return;
+  }
+  mFinished = true;
+  mBuffer.Finish();
+  StoreDue();
+}
+
+void
+RecordAgent::UpdateMetrics()
+{
+  mUnstoredBytes.Set(static_cast<double>(mBuffer.Bytes()));
+  mHeldBytes.Set(static_cast<double>(mHeld.Bytes()));
+  mDroppedRecords.Set(static_cast<double>(mBuffer.DroppedRecords()));
+  mDroppedCopies.Set(static_cast<double>(mHeld.Dropped()));
+  mUntracked.Set(static_cast<double>(mBuffer.Untracked()));
+  if (mBuffer.DroppedRecords() != mReportedDrops) {
+    mContext.Record(
+      { .mPart = "records",
+        .mKind = EventKind::RecordsDropped,
+        .mText = std::to_string(mBuffer.DroppedRecords() - mReportedDrops) +
+                 " records were dropped because the memory for them is full" });
+    mReportedDrops = mBuffer.DroppedRecords();
+  }
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/node/src/RecordExporter.cpp
@@ -0,0 +1,147 @@
+#include "RecordExporter.h"
+
+#include <utility>
+#include <vector>
+
+#include "AdminApi.h"
+
+namespace papayaway {
+
+namespace {
+
+/** Exports at a time; each may hold twice RecordExporter::kMaxBytes. */
+constexpr std::size_t kMaxExports = 1;
+
+nlohmann::json
+RangeJson(const SequenceRange& aRange)
+{
+  return { { "first", aRange.mFirst }, { "last", aRange.mLast } };
+}
+
+} // namespace
+
+struct RecordExporter::Reading
+{
+  std::shared_ptr<HttpExchange> mExchange;
+  std::string mCustomer;
+  std::vector<std::string> mNames;
+  std::vector<RecordObject> mObjects;
+};
+
+nlohmann::json
+ToJson(const std::string& aCustomer, const RecordExport& aExport)
+{
+  bool complete = aExport.mFindings.empty();
+  auto incarnations = nlohmann::json::array();
+  for (const IncarnationRecords& records : aExport.mIncarnations) {
+    auto ranges = nlohmann::json::array();
+    for (const SequenceRange& range : records.mRanges) {
+      ranges.push_back(RangeJson(range));
+    }
+    auto gaps = nlohmann::json::array();
+    for (const RecordGap& gap : records.mGaps) {
+      complete = false;
+      auto json = RangeJson(gap.mRange);
+      json["dropped"] = gap.mDropped;
+      gaps.push_back(std::move(json));
+    }
+    nlohmann::json json = { { "node", records.mNode },
+                            { "incarnation", records.mIncarnation },
+                            { "ranges", std::move(ranges) },
+                            { "gaps", std::move(gaps) },
+                            { "lines", records.mLines } };
+    if (records.mFinal) {
+      json["final"] = *records.mFinal;
+    }
+    incarnations.push_back(std::move(json));
+  }
+  auto findings = nlohmann::json::array();
+  for (const Finding& finding : aExport.mFindings) {
+    findings.push_back(
+      { { "object", finding.mPath }, { "text", finding.mMessage } });
+  }
+  return { { "customer", aCustomer },
+           { "complete", complete },
+           { "incarnations", std::move(incarnations) },
+           { "findings", std::move(findings) } };
+}
+
+void
+RecordExporter::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const std::string customer = aExchange->Request().QueryValue("customer");
+  if (customer.empty()) {
+    aExchange->Respond(AdminError(400, "\"customer\" is missing"));
+    return;
+  }
+  if (mActive >= kMaxExports) {
+    aExchange->Respond(AdminError(503, "another export is running here"));
+    return;
+  }
+  ++mActive;
+  auto reading = std::make_shared<Reading>();
+  reading->mExchange = aExchange;
+  reading->mCustomer = customer;
+  mPlatform.ListObjects(
+    RecordPrefix(customer),
+    [this, reading](const Expected<std::vector<ObjectInfo>>& aObjects) {
+      if (!aObjects) {
+        Finish(reading,
+               AdminError(503,
+                          "the records can't be listed: " +
+                            aObjects.error().mMessage));
+        return;
+      }
+      std::uint64_t bytes = 0;
+      for (const ObjectInfo& object : *aObjects) {
+        bytes += object.mBytes;
+        reading->mNames.push_back(object.mName);
+      }
+      if (bytes > kMaxBytes) {
+        Finish(reading,
+               AdminError(413,
+                          "the records are larger than " +
+                            std::to_string(kMaxBytes) + " bytes"));
+        return;
+      }
+      ReadNext(reading);
+    });
+}
+
+void
+RecordExporter::ReadNext(const std::shared_ptr<Reading>& aReading)
+{
+  if (aReading->mObjects.size() == aReading->mNames.size()) {
+    const RecordExport result = ExportRecords(aReading->mObjects);
+    Finish(
+      aReading,
+      JsonResponse(
+        200,
+        ToJson(aReading->mCustomer, result)
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)));
+    return;
+  }
+  const std::string& name = aReading->mNames[aReading->mObjects.size()];
+  mPlatform.GetObject(
+    name, [this, aReading, name](Expected<std::string> aContent) {
+      if (!aContent) {
+        Finish(aReading,
+               AdminError(503,
+                          "object " + name +
+                            " can't be read: " + aContent.error().mMessage));
+        return;
+      }
+      aReading->mObjects.push_back({ name, std::move(*aContent) });
+      ReadNext(aReading);
+    });
+}
+
+void
+RecordExporter::Finish(const std::shared_ptr<Reading>& aReading,
+                       HttpResponse aResponse)
+{
+  --mActive;
+  aReading->mExchange->Respond(std::move(aResponse));
+}
+
+} // namespace papayaway
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -26,19 +26,6 @@
                           { { "reason", aReason } });
 }
 
-/** Tells how a call ended for the estimate of the target's latency. Failures
- *  are often much faster than answers and would lower the baseline. */
-CallEnd
-EndOf(const Reply& aReply)
-{
-  if (aReply.mOutcome == Outcome::Unknown && aReply.mStatus == 504) {
-    return CallEnd::TimedOut;
-  }
-  return aReply.mOutcome == Outcome::Ran && aReply.mStatus < 500
-           ? CallEnd::Answered
-           : CallEnd::Other;
-}
-
 } // namespace
 
 TargetProxy::RefusalCounters::RefusalCounters(NodeMetrics& aMetrics)
--- /dev/null
+++ b/libs/node/tests/OutcomesTest.cpp
@@ -0,0 +1,39 @@
+#include <gtest/gtest.h>
+
+#include "Outcomes.h"
+
+namespace papayaway {
+namespace {
+
+// Guards against a limit that follows fast failures instead of answers.
+TEST(Outcomes, OnlyAnswersTellTheLatency)
+{
+  EXPECT_EQ(EndOf({ .mStatus = 200, .mOutcome = Outcome::Ran }),
+            CallEnd::Answered);
+  EXPECT_EQ(EndOf({ .mStatus = 404, .mOutcome = Outcome::Ran }),
+            CallEnd::Answered);
+  EXPECT_EQ(EndOf({ .mStatus = 500, .mOutcome = Outcome::Ran }),
+            CallEnd::Other);
+  EXPECT_EQ(EndOf(NotRunReply(503, "")), CallEnd::Other);
+  EXPECT_EQ(EndOf(UnknownReply(502, "")), CallEnd::Other);
+  EXPECT_EQ(EndOf(UnknownReply(504, "")), CallEnd::TimedOut);
+}
+
+// Guards against answering not-run for a request that may have reached the
+// target, which a caller would then send again.
+TEST(Outcomes, NotRunOnlyIfNothingWasSent)
+{
+  for (const HttpFailure failure : { HttpFailure::NotConnected,
+                                     HttpFailure::Timeout,
+                                     HttpFailure::ConnectionLost,
+                                     HttpFailure::TooLarge,
+                                     HttpFailure::Cancelled }) {
+    EXPECT_EQ(ReplyOf({ .mFailure = failure, .mMayHaveRun = true }).mOutcome,
+              Outcome::Unknown);
+    EXPECT_EQ(ReplyOf({ .mFailure = failure, .mMayHaveRun = false }).mOutcome,
+              Outcome::NotRun);
+  }
+}
+
+} // namespace
+} // namespace papayaway
