--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include <base/Hash.h>
-
 #include "Outcomes.h"
 
 namespace papayaway {
@@ -27,12 +25,6 @@
   return value;
 }
 
-bool
-Contains(const std::vector<std::string>& aList, std::string_view aText)
-{
-  return std::find(aList.begin(), aList.end(), aText) != aList.end();
-}
-
 Call
 CallOf(const HttpRequest& aRequest, const Route& aRoute)
 {
@@ -68,6 +60,12 @@
   , mFacts(aFacts)
   , mTargetProxy(aTargetProxy)
   , mHandlers(std::move(aHandlers))
+  , mRetriesRefused(
+      aContext.mMetrics.Counter("papayaway_retries_refused_total",
+                                "Retries that the retry budget did not allow"))
+  , mTooManyCalls(
+      aContext.mMetrics.Counter("papayaway_active_calls_refused_total",
+                                "Calls refused because too many are in flight"))
 {
 }
 
@@ -89,10 +87,11 @@
   }
   const RouteMatch match = mTable->FindRoute(request.mMethod, request.mPath);
   if (match.mRoute == nullptr) {
-    Respond(*aExchange,
-            match.mMethodNotAllowed
-              ? NotRunReply(405, "the route does not take this method")
-              : NotRunReply(404, "no route matches the path"));
+    Refuse(*aExchange,
+           { .mMethod = request.mMethod },
+           match.mMethodNotAllowed
+             ? NotRunReply(405, "the route does not take this method")
+             : NotRunReply(404, "no route matches the path"));
     return;
   }
   ActiveCall active{ .mExchange = aExchange,
@@ -101,22 +100,24 @@
   const Call& call = active.mCall;
   if (!call.mIdempotent &&
       (call.mKey.empty() || call.mKey.size() > kMaxKeyLength)) {
-    Respond(*aExchange,
-            NotRunReply(400,
-                        "the route needs an Idempotency-Key of at most 256 "
-                        "characters"));
+    Refuse(*aExchange,
+           call,
+           NotRunReply(400,
+                       "the route needs an Idempotency-Key of at most 256 "
+                       "characters"));
     return;
   }
   if (mHandlers.mIsQuarantined(call)) {
-    Respond(*aExchange, NotRunReply(422, "the request is quarantined"));
+    Refuse(*aExchange, call, NotRunReply(422, "the request is quarantined"));
     return;
   }
   if (mCalls.size() >= kMaxActiveCalls) {
-    Respond(*aExchange, NotRunReply(503, "too many calls are in flight here"));
+    mTooManyCalls.Increment();
+    Refuse(
+      *aExchange, call, NotRunReply(503, "too many calls are in flight here"));
     return;
   }
-  active.mCustomer = std::string(
-    request.mHeaders.Value(mTable->SourceDocument().mCustomerHeader));
+  active.mCustomer = CustomerOf(request);
   active.mDeadline = active.mArrived + call.mTimeLeft;
   active.mLastReply = NotRunReply(503, "no endpoint is ready");
   const std::uint64_t id = mNextId++;
@@ -125,89 +126,29 @@
     std::make_unique<Timer>(mContext.mLoop, [this, id] { OnTimeout(id); });
   active.mTimeout->StartOnce(call.mTimeLeft + kReplyGrace);
   aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
-  mRetryTokens = std::min(mRetryTokens + 0.1, 100.0);
+  active.mArrivedAttempt = call.mAttempt;
+  if (call.mAttempt == 0) {
+    mRetryBudget.OnFirstCall();
+  }
   mCalls.emplace(id, std::move(active));
   Dispatch(id);
 }
 
 std::string
-EntryProxy::VersionWithoutShare(const ActiveCall& aActive) const
-{
-  const Call& call = aActive.mCall;
-  const Service* const service =
-    mTable->SourceDocument().FindService(call.mService);
-  if (service == nullptr || aActive.mExcludedVersions.empty()) {
-    return {};
-  }
-  for (const VersionShare& version : service->mVersions) {
-    if (!Contains(aActive.mExcludedVersions, version.mName) &&
-        !mTable->Endpoints(call.mService, version.mName).empty()) {
-      return version.mName;
-    }
-  }
-  return {};
-}
-
-std::string
-EntryProxy::ChooseVersion(const ActiveCall& aActive)
+EntryProxy::CustomerOf(const HttpRequest& aRequest) const
 {
-  const Call& call = aActive.mCall;
-  int sum = 0;
-  for (const VersionShare& share : mTable->Shares(call.mService)) {
-    sum += Contains(aActive.mExcludedVersions, share.mName) ? 0 : share.mShare;
-  }
-  if (sum == 0) {
-    // In the last stage of a move the new version has the whole share; what
-    // its budget does not admit runs on an old version.
-    return VersionWithoutShare(aActive);
-  }
-  // The same key draws the same version, so that its repetition finds the
-  // recorded outcome.
-  const std::uint64_t draw =
-    call.mIdempotent ? mContext.mRandom() : Hash64(call.mKey);
-  int point = static_cast<int>(draw % static_cast<std::uint64_t>(sum));
-  for (const VersionShare& share : mTable->Shares(call.mService)) {
-    if (Contains(aActive.mExcludedVersions, share.mName)) {
-      continue;
-    }
-    point -= share.mShare;
-    if (point < 0) {
-      return share.mName;
-    }
-  }
-  return {};
+  return std::string(
+    aRequest.mHeaders.Value(mTable->SourceDocument().mCustomerHeader));
 }
 
-const Endpoint*
-EntryProxy::Choose(ActiveCall& aActive)
+void
+EntryProxy::Refuse(HttpExchange& aExchange,
+                   const Call& aCall,
+                   const Reply& aReply)
 {
-  Call& call = aActive.mCall;
-  call.mVersion = ChooseVersion(aActive);
-  if (call.mVersion.empty()) {
-    return nullptr;
-  }
-  if (call.mIdempotent) {
-    return mPicker.Pick(*mTable,
-                        { .mService = call.mService,
-                          .mVersion = call.mVersion,
-                          .mDataCentre = mContext.mSettings.mDataCentre,
-                          .mRegion = mContext.mSettings.mRegion,
-                          .mExcluded = aActive.mExcludedNodes,
-                          .mNow = SteadyNow() },
-                        mContext.mRandom);
-  }
-  const Endpoint* best = nullptr;
-  std::uint64_t bestRank = 0;
-  for (const Endpoint& endpoint :
-       mTable->Endpoints(call.mService, call.mVersion)) {
-    const std::uint64_t rank = Hash64(call.mKey, Hash64(endpoint.mNode));
-    if (!Contains(aActive.mExcludedNodes, endpoint.mNode) &&
-        (best == nullptr || rank > bestRank)) {
-      best = &endpoint;
-      bestRank = rank;
-    }
-  }
-  return best;
+  const std::string customer = CustomerOf(aExchange.Request());
+  Respond(aExchange, aReply);
+  mHandlers.mAnswered(aCall, customer, aReply.mStatus, aReply.mOutcome);
 }
 
 void
@@ -260,26 +201,38 @@
 }
 
 bool
-EntryProxy::MayRetry(const ActiveCall& aActive, const Reply& aReply)
+EntryProxy::TryRetry(ActiveCall& aActive, const Reply& aReply)
 {
-  const Call& call = aActive.mCall;
   if (aActive.mAttempts >= kMaxAttempts) {
     return false;
   }
+  // It did not reach a target and goes to another version: a redirect, not a
+  // retry.
   if (IsExposureRefusal(aReply)) {
     return true;
   }
-  const bool repeatable =
-    aReply.mOutcome == Outcome::NotRun
-      ? aReply.mStatus == 503
-      : call.mIdempotent && aReply.mOutcome == Outcome::Unknown;
-  // A call that is itself a retry is not retried again, so that retries do
-  // not multiply along a chain of calls.
-  if (!repeatable || call.mAttempt > 0 || mRetryTokens < 1) {
+  if (aReply.mOutcome == Outcome::Ran ||
+      (aReply.mOutcome == Outcome::NotRun && aReply.mStatus != 503)) {
     return false;
   }
-  mRetryTokens -= 1;
-  return true;
+  if (!mHandlers.mMayRetry(aActive.mCall)) {
+    return false;
+  }
+  const std::uint64_t exhausted = mRetryBudget.Exhausted();
+  const bool allowed =
+    mRetryBudget.TryRetry({ .mArrivedAttempt = aActive.mArrivedAttempt,
+                            .mRetries = aActive.mRetries,
+                            .mOutcome = aReply.mOutcome,
+                            .mIdempotent = aActive.mCall.mIdempotent },
+                          SteadyNow());
+  mRetriesRefused.Increment(
+    static_cast<double>(mRetryBudget.Exhausted() - exhausted));
+  if (allowed) {
+    ++aActive.mRetries;
+    aActive.mCall.mAttempt = aActive.mArrivedAttempt + 1;
+    mContext.mMetrics.mRetries.Increment();
+  }
+  return allowed;
 }
 
 void
@@ -298,11 +251,10 @@
                   now - active.mSent,
                   now,
                   mContext.mRandom);
-  if (!MayRetry(active, aReply)) {
+  if (!TryRetry(active, aReply)) {
     Answer(aId, aReply);
     return;
   }
-  mContext.mMetrics.mRetries.Increment();
   if (IsExposureRefusal(aReply)) {
     active.mExcludedVersions.push_back(active.mCall.mVersion);
   } else {
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -10,6 +10,7 @@
 #include <mesh/FactStore.h>
 #include <net/HttpServer.h>
 #include <traffic/EndpointPicker.h>
+#include <traffic/RetryBudget.h>
 #include <traffic/RouteTable.h>
 #include <wire/Messages.h>
 
@@ -28,6 +29,9 @@
     mAnswered;
   /** @return whether the request is refused because it crashes targets. */
   std::function<bool(const Call&)> mIsQuarantined;
+  /** @return whether the request may be sent to another target although the
+   *    first one may have crashed on it. */
+  std::function<bool(const Call&)> mMayRetry;
 };
 
 /** Takes the calls of callers and sends each to an endpoint. */
@@ -67,6 +71,10 @@
     std::vector<std::string> mExcludedNodes;
     std::vector<std::string> mExcludedVersions;
     int mAttempts = 0;
+    /** The attempt that the call arrived with. */
+    int mArrivedAttempt = 0;
+    /** Attempts that took a token of the retry budget. */
+    int mRetries = 0;
     /** The refusal that is answered if no other endpoint takes the call. */
     Reply mLastReply;
     std::unique_ptr<Timer> mTimeout;
@@ -80,12 +88,15 @@
   [[nodiscard]] std::string VersionWithoutShare(
     const ActiveCall& aActive) const;
   void HandleReply(std::uint64_t aId, Reply aReply);
-  [[nodiscard]] bool MayRetry(const ActiveCall& aActive, const Reply& aReply);
+  [[nodiscard]] bool TryRetry(ActiveCall& aActive, const Reply& aReply);
   void OnTimeout(std::uint64_t aId);
   void OnAbandoned(std::uint64_t aId);
   void CancelAttempt(const ActiveCall& aActive);
   void Answer(std::uint64_t aId, const Reply& aReply);
   void Respond(HttpExchange& aExchange, const Reply& aReply);
+  /** Answers a call that was not sent to an endpoint. */
+  void Refuse(HttpExchange& aExchange, const Call& aCall, const Reply& aReply);
+  [[nodiscard]] std::string CustomerOf(const HttpRequest& aRequest) const;
 
   NodeContext& mContext;
   PeerLinks& mLinks;
@@ -96,8 +107,9 @@
   EndpointPicker mPicker;
   std::uint64_t mNextId = 1;
   std::unordered_map<std::uint64_t, ActiveCall> mCalls;
-  /** Tokens for retries: each call adds a tenth, each retry takes one. */
-  double mRetryTokens = 0;
+  RetryBudget mRetryBudget;
+  prometheus::Counter& mRetriesRefused;
+  prometheus::Counter& mTooManyCalls;
 };
 
 } // namespace papayaway
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -19,6 +19,9 @@
 #include "NodeContext.h"
 #include "PeerLinks.h"
 #include "PlatformAgent.h"
+#include "QuarantineAgent.h"
+#include "RecordAgent.h"
+#include "RecordExporter.h"
 #include "Reports.h"
 #include "TargetProxy.h"
 
@@ -43,6 +46,9 @@
   MemberAgent mMembers;
   PlatformAgent mPlatform;
   MoveAgent mMoves;
+  QuarantineAgent mQuarantine;
+  RecordAgent mRecords;
+  RecordExporter mExporter;
   AdminApi mAdmin;
   std::unique_ptr<HttpServer> mCallerServer;
   std::unique_ptr<HttpServer> mAdminServer;
@@ -76,7 +82,7 @@
         mContext,
         { .mChanged =
             [this](const EndpointFact& aFact) { mSpreader.Publish(aFact); },
-          .mRestarted = [] {} })
+          .mRestarted = [this] { mTargetProxy.OnTargetRestarted(); } })
     , mTargetProxy(
         mContext,
         mTarget,
@@ -87,14 +93,39 @@
           .mObserved =
             [this](const Call& aCall, bool aFailed, Millis aTime) {
               mMoves.OnObserved(aCall, aFailed, aTime);
+            },
+          .mVerdict =
+            [this](const std::string& aFingerprint, const CrashWatch& aWatch) {
+              return mQuarantine.Check(aFingerprint, aWatch);
+            },
+          .mCrashed =
+            [this](const std::string& aService,
+                   std::vector<std::string> aFingerprints) {
+              mQuarantine.OnTargetCrashed(aService, std::move(aFingerprints));
+            },
+          .mRan =
+            [this](const std::string& aService,
+                   const std::string& aFingerprint) {
+              mQuarantine.OnRan(aService, aFingerprint);
             } })
     , mEntry(
         mContext,
         mLinks,
         mSpreader.Store(),
         mTargetProxy,
-        { .mAnswered = [](const Call&, const std::string&, int, Outcome) {},
-          .mIsQuarantined = [](const Call&) { return false; } })
+        { .mAnswered =
+            [this](const Call& aCall,
+                   const std::string& aCustomer,
+                   int aStatus,
+                   Outcome aOutcome) {
+              mRecords.OnAnswered(aCall, aCustomer, aStatus, aOutcome);
+            },
+          .mIsQuarantined =
+            [this](const Call& aCall) {
+              return mQuarantine.IsQuarantined(aCall);
+            },
+          .mMayRetry =
+            [this](const Call& aCall) { return mQuarantine.MayRetry(aCall); } })
     , mMembers(mContext, mLinks, mSpreader)
     , mPlatform(mContext, mLinks, mSpreader, mMembers)
     , mMoves(mContext,
@@ -102,6 +133,9 @@
              mSpreader,
              mPlatform.Client(),
              [this] { return mPlatform.IsRelay(); })
+    , mQuarantine(mContext, mLinks, mSpreader)
+    , mRecords(mContext, mLinks, mPlatform.Client())
+    , mExporter(mPlatform.Client())
     , mAdmin(mContext)
     , mStopTimer(aLoop, [this] { ContinueStop(); })
   {
@@ -156,6 +190,8 @@
   mMembers.Start(mAdminServer->Address());
   mPlatform.Start(mAdminServer->Address());
   mMoves.Start();
+  mQuarantine.Start();
+  mRecords.Start();
   return {};
 }
 
@@ -226,6 +262,14 @@
       mTarget.Drain();
       aExchange->Respond(JsonResponse(200, "{}"));
     });
+  mAdmin.Add(
+    "POST", "/v1/release", Access::Operator, [this](const Exchange& aExchange) {
+      mQuarantine.OnRelease(aExchange);
+    });
+  mAdmin.Add(
+    "GET", "/v1/export", Access::Operator, [this](const Exchange& aExchange) {
+      mExporter.OnRequest(aExchange);
+    });
   mAdmin.Add(
     "GET", "/metrics", Access::Open, [this](const Exchange& aExchange) {
       aExchange->Respond({ .mStatus = 200,
@@ -274,6 +318,12 @@
       mSpreader.OnDocumentRequest(aLink, aAlternative);
     } else if constexpr (std::is_same_v<T, Evidence>) {
       mMoves.OnEvidence(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, RecordCopy>) {
+      mRecords.OnCopy(aAlternative);
+    } else if constexpr (std::is_same_v<T, CrashReport>) {
+      mQuarantine.OnCrashReport(aLink, aAlternative);
+    } else if constexpr (std::is_same_v<T, SuspectRan>) {
+      mQuarantine.OnSuspectRan(aLink, aAlternative);
     }
   };
   mMembers.OnHeard(aLink);
@@ -312,6 +362,8 @@
   }
   mMembers.OnFact(aFact);
   mMoves.OnFact(aFact);
+  mQuarantine.OnFact(aFact);
+  mRecords.OnFact(aFact);
 }
 
 void
@@ -361,9 +413,13 @@
 {
   const bool idle = mEntry.InFlight() == 0 && mTargetProxy.Load() == 0 &&
                     mCallerServer->InFlight() == 0;
-  if (!idle && SteadyNow() < mStopDeadline) {
+  if (idle) {
+    mRecords.Finish();
+  }
+  if ((!idle || !mRecords.IsStored()) && SteadyNow() < mStopDeadline) {
     return;
   }
+  mRecords.SendCopies();
   mStopTimer.Stop();
   mMoves.Stop();
   mMembers.Leave();
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -6,19 +6,40 @@
 #include <net/Http.h>
 
 #include "Outcomes.h"
+#include "QuarantineAgent.h"
 
 namespace papayaway {
 
 namespace {
 
-/** Calls that wait for a slot, as a multiple of the slots. */
-constexpr std::size_t kQueuePerSlot = 2;
-/** Less time than this is not enough to run a call. */
-constexpr Millis kMinTimeLeft{ 1 };
+/** Bounds the memory of waiting calls; how long they wait is bounded by their
+ *  deadlines. */
+constexpr std::size_t kMaxQueued = 64;
+constexpr Millis kQueueTickPeriod{ 5 };
 constexpr Millis kKeyExpiryPeriod = Seconds(10);
 
+prometheus::Counter&
+RefusalCounter(NodeMetrics& aMetrics, const std::string& aReason)
+{
+  return aMetrics.Counter("papayaway_serving_refusals_total",
+                          "Calls refused as not run by the serving node",
+                          { { "reason", aReason } });
+}
+
 } // namespace
 
+TargetProxy::RefusalCounters::RefusalCounters(NodeMetrics& aMetrics)
+  : mNotReady(RefusalCounter(aMetrics, "not-ready"))
+  , mExposure(RefusalCounter(aMetrics, "exposure"))
+  , mQueueFull(RefusalCounter(aMetrics, "queue-full"))
+  , mDeadline(RefusalCounter(aMetrics, "deadline"))
+  , mExpiredInQueue(RefusalCounter(aMetrics, "expired-in-queue"))
+  , mNotConnected(RefusalCounter(aMetrics, "not-connected"))
+  , mKeysFull(RefusalCounter(aMetrics, "keys-full"))
+  , mQuarantine(RefusalCounter(aMetrics, "quarantine"))
+{
+}
+
 TargetProxy::TargetProxy(NodeContext& aContext,
                          LocalTarget& aTarget,
                          TargetProxyHandlers aHandlers)
@@ -26,22 +47,21 @@
   , mTarget(aTarget)
   , mHandlers(std::move(aHandlers))
   , mClient(aContext.mLoop, { .mMaxBody = aContext.mSettings.mMaxBody })
+  , mAdmission(1, kMaxQueued)
+  , mRefusals(aContext.mMetrics)
+  , mQueueLength(aContext.mMetrics.Gauge("papayaway_queued_calls",
+                                         "Calls that wait for a slot"))
+  , mQueueTick(aContext.mLoop,
+               [this] { Perform(mAdmission.OnTick(SteadyNow())); })
   , mKeyExpiry(aContext.mLoop, [this] { mKeys.Expire(SteadyNow()); })
 {
   mKeyExpiry.StartRepeating(kKeyExpiryPeriod);
 }
 
-std::size_t
-TargetProxy::Slots() const
-{
-  return mTarget.Current() ? static_cast<std::size_t>(mTarget.Current()->mSlots)
-                           : 0;
-}
-
 std::size_t
 TargetProxy::Load() const
 {
-  return mAtTarget + mQueue.size();
+  return static_cast<std::size_t>(mAdmission.InFlight()) + mAdmission.Queued();
 }
 
 ServedId
@@ -50,8 +70,10 @@
   const ServedId id = mNextId++;
   const Millis now = SteadyNow();
   const Millis deadline = now + aCall.mTimeLeft;
+  std::string fingerprint = FingerprintOf(aCall);
   mServed.emplace(id,
                   Served{ .mCall = std::move(aCall),
+                          .mFingerprint = std::move(fingerprint),
                           .mCallback = std::move(aCallback),
                           .mArrived = now,
                           .mDeadline = deadline });
@@ -67,79 +89,114 @@
   if (!call.mIdempotent && !AdmitKey(aId)) {
     return;
   }
-  const auto& target = mTarget.Current();
-  if (!mTarget.IsReady() || target->mService != call.mService ||
-      target->mVersion != call.mVersion) {
-    Refuse(aId, NotRunReply(503, "the target is not ready for this version"));
+  if (!mTarget.IsReady() || !HasTargetFor(call)) {
+    Refuse(aId,
+           NotRunReply(503, "the target is not ready for this version"),
+           mRefusals.mNotReady);
+    return;
+  }
+  const QuarantineVerdict verdict =
+    mHandlers.mVerdict(served.mFingerprint, mWatch);
+  if (verdict != QuarantineVerdict::Run) {
+    RefuseSuspect(aId, verdict);
     return;
   }
   if (!call.mIdempotent) {
     if (!mHandlers.mAdmitExposure(call)) {
-      Refuse(aId, ExposureRefusal());
+      Refuse(aId, ExposureRefusal(), mRefusals.mExposure);
       return;
     }
     served.mExposed = true;
   }
-  if (mAtTarget < Slots()) {
-    Send(aId);
-  } else if (mQueue.size() < Slots() * kQueuePerSlot) {
-    mQueue.push_back(aId);
-  } else {
-    Refuse(aId, NotRunReply(503, "the target has no free slot"));
+  mAdmission.SetSlots(mTarget.Current()->mSlots);
+  const bool full = mAdmission.Queued() >= kMaxQueued;
+  AdmissionActions actions =
+    mAdmission.Offer(aId, served.mDeadline, SteadyNow());
+  const bool refused = std::erase(actions.mRefuse, aId) > 0;
+  Perform(std::move(actions));
+  if (refused) {
+    Refuse(aId,
+           NotRunReply(503, "the target has no free slot in time"),
+           full ? mRefusals.mQueueFull : mRefusals.mDeadline);
   }
 }
 
 bool
-TargetProxy::AdmitKey(ServedId aId)
+TargetProxy::HasTargetFor(const Call& aCall) const
 {
-  const Call& call = mServed.at(aId).mCall;
-  const KeyAnswer answer =
-    mKeys.Admit(call.mService,
-                call.mKey,
-                RequestHash(call.mMethod, call.mPath + call.mQuery, call.mBody),
-                aId,
-                SteadyNow());
-  switch (answer.mAdmission) {
-    case KeyAdmission::Run:
-      return true;
-    case KeyAdmission::Joined:
-      return false;
-    case KeyAdmission::Replay:
-      Finish(aId,
-             { .mStatus = answer.mResponse->mStatus,
-               .mHeaders = answer.mResponse->mHeaders,
-               .mBody = answer.mResponse->mBody,
-               .mOutcome = Outcome::Ran });
-      return false;
-    case KeyAdmission::Unknown:
-      Finish(aId, UnknownReply(502, "the outcome of this key is not known"));
-      return false;
-    case KeyAdmission::Full:
-      Finish(aId, NotRunReply(503, "too many keys are remembered"));
-      return false;
-    case KeyAdmission::Mismatch:
-      Finish(aId, NotRunReply(422, "the key belongs to another request"));
-      return false;
-  }
-  return false;
+  const auto& target = mTarget.Current();
+  return target && target->mService == aCall.mService &&
+         target->mVersion == aCall.mVersion;
 }
 
 void
-TargetProxy::StartQueued()
+TargetProxy::Perform(AdmissionActions aActions)
 {
-  const Millis now = SteadyNow();
-  while (!mQueue.empty() && mAtTarget < Slots()) {
-    const ServedId id = mQueue.front();
-    mQueue.pop_front();
-    if (mServed.at(id).mDeadline - now < kMinTimeLeft) {
-      Refuse(id,
-             NotRunReply(503, "the deadline passed before a slot was free"));
-    } else {
+  // A refusal may offer the call again before it returns, but Send() runs no
+  // callback: so every started call is still there.
+  std::vector<std::pair<ServedId, QuarantineVerdict>> blocked;
+  for (std::size_t i = 0; i < aActions.mStart.size(); ++i) {
+    const ServedId id = aActions.mStart[i];
+    const Served& served = mServed.at(id);
+    const QuarantineVerdict verdict =
+      mHandlers.mVerdict(served.mFingerprint, mWatch);
+    if (HasTargetFor(served.mCall) && verdict == QuarantineVerdict::Run &&
+        DispatchKey(id)) {
       Send(id);
+      continue;
+    }
+    // The target went away or was replaced, or a crash made the request a
+    // suspect, while the call waited.
+    blocked.emplace_back(id, verdict);
+    const AdmissionActions next =
+      mAdmission.OnFinished(CallEnd::Other, {}, SteadyNow());
+    aActions.mStart.insert(
+      aActions.mStart.end(), next.mStart.begin(), next.mStart.end());
+    aActions.mRefuse.insert(
+      aActions.mRefuse.end(), next.mRefuse.begin(), next.mRefuse.end());
+  }
+  WatchQueue();
+  for (const auto& [id, verdict] : blocked) {
+    if (!mServed.contains(id)) {
+      continue;
+    }
+    if (verdict != QuarantineVerdict::Run) {
+      RefuseSuspect(id, verdict);
+    } else {
+      Refuse(id, NotRunReply(503, "the target is gone"), mRefusals.mNotReady);
+    }
+  }
+  for (const ServedId id : aActions.mRefuse) {
+    if (mServed.contains(id)) {
+      Refuse(id,
+             NotRunReply(503, "the target had no free slot in time"),
+             mRefusals.mExpiredInQueue);
     }
   }
 }
 
+void
+TargetProxy::OnTargetFree(CallEnd aEnd, Millis aLatency)
+{
+  Perform(mAdmission.OnFinished(aEnd, aLatency, SteadyNow()));
+}
+
+void
+TargetProxy::WatchQueue()
+{
+  mQueueLength.Set(static_cast<double>(mAdmission.Queued()));
+  const bool needed = mAdmission.Queued() > 0;
+  if (needed == mWatchingQueue) {
+    return;
+  }
+  mWatchingQueue = needed;
+  if (needed) {
+    mQueueTick.StartRepeating(kQueueTickPeriod);
+  } else {
+    mQueueTick.Stop();
+  }
+}
+
 void
 TargetProxy::Send(ServedId aId)
 {
@@ -163,9 +220,10 @@
     http.mRequest.mHeaders.Set(std::string(kAttemptHeader),
                                std::to_string(call.mAttempt));
   }
+  mWatch.OnSent(aId, served.mFingerprint, now);
+  mTargetService = call.mService;
   served.mAtTarget = true;
   served.mSent = now;
-  ++mAtTarget;
   mContext.mMetrics.mServed.Increment();
   served.mHttpId = mClient.Send(std::move(http), [this, aId](HttpResult aHttp) {
     OnResult(aId, std::move(aHttp));
@@ -175,19 +233,30 @@
 void
 TargetProxy::OnResult(ServedId aId, HttpResult aResult)
 {
-  --mAtTarget;
+  const bool refused = aResult.mFailure == HttpFailure::NotConnected;
+  // A request that is sent again on a new connection has run before.
+  if (aResult.mFailure == HttpFailure::ConnectionLost ||
+      (refused && aResult.mMayHaveRun)) {
+    mWatch.OnBroken(aId, SteadyNow());
+  } else {
+    mWatch.OnEnded(aId);
+  }
+  if (refused) {
+    mTarget.OnRefusedConnection();
+  }
   const auto found = mServed.find(aId);
   if (found == mServed.end()) {
-    StartQueued();
+    OnTargetFree(CallEnd::Other, {});
     return;
   }
   Served& served = found->second;
   served.mAtTarget = false;
   const Call& call = served.mCall;
-  if (aResult.mFailure == HttpFailure::NotConnected && !aResult.mMayHaveRun) {
-    mTarget.OnRefusedConnection();
-    Refuse(aId, NotRunReply(503, "the target does not accept connections"));
-    StartQueued();
+  if (refused && !aResult.mMayHaveRun) {
+    Refuse(aId,
+           NotRunReply(503, "the target does not accept connections"),
+           mRefusals.mNotConnected);
+    OnTargetFree(CallEnd::Other, {});
     return;
   }
   if (aResult.mFailure == HttpFailure::None) {
@@ -199,66 +268,58 @@
     mClient.DistrustOpenConnections();
   }
   Reply reply = ReplyOf(std::move(aResult));
+  const CallEnd end = EndOf(reply);
+  const Millis latency = SteadyNow() - served.mSent;
   if (reply.mOutcome == Outcome::NotRun && served.mExposed) {
     mHandlers.mReleaseExposure(call);
   }
+  if (reply.mOutcome == Outcome::Ran) {
+    mHandlers.mRan(call.mService, served.mFingerprint);
+  }
   if (reply.mOutcome != Outcome::NotRun) {
     const bool failed =
       reply.mOutcome == Outcome::Unknown || reply.mStatus >= 500;
-    mHandlers.mObserved(call, failed, SteadyNow() - served.mSent);
+    mHandlers.mObserved(call, failed, latency);
   }
   if (!call.mIdempotent) {
     FinishKey(call, reply);
   }
+  OnTargetFree(end, latency);
   Finish(aId, std::move(reply));
-  StartQueued();
 }
 
 void
-TargetProxy::FinishKey(const Call& aCall, const Reply& aReply)
+TargetProxy::Refuse(ServedId aId,
+                    const Reply& aReply,
+                    prometheus::Counter& aReason)
 {
-  const Millis now = SteadyNow();
-  std::vector<std::uint64_t> waiters;
-  switch (aReply.mOutcome) {
-    case Outcome::Ran:
-      waiters =
-        mKeys.Complete(aCall.mService,
-                       aCall.mKey,
-                       { aReply.mStatus, aReply.mHeaders, aReply.mBody },
-                       now);
-      break;
-    case Outcome::NotRun:
-      waiters = mKeys.Abandon(aCall.mService, aCall.mKey);
-      break;
-    case Outcome::Unknown:
-      waiters = mKeys.MarkUnknown(aCall.mService, aCall.mKey, now);
-      break;
+  aReason.Increment();
+  Served& served = mServed.at(aId);
+  if (served.mExposed) {
+    mHandlers.mReleaseExposure(served.mCall);
   }
-  AnswerWaiters(waiters, aReply);
+  if (!served.mCall.mIdempotent) {
+    FinishKey(served.mCall, aReply);
+  }
+  Finish(aId, aReply);
 }
 
 void
-TargetProxy::AnswerWaiters(const std::vector<std::uint64_t>& aWaiters,
-                           const Reply& aReply)
+TargetProxy::RefuseSuspect(ServedId aId, QuarantineVerdict aVerdict)
 {
-  for (const std::uint64_t waiter : aWaiters) {
-    if (mServed.contains(waiter) && !mServed.at(waiter).mAtTarget) {
-      Finish(waiter, aReply);
-    }
-  }
+  Refuse(aId,
+         aVerdict == QuarantineVerdict::Refuse
+           ? NotRunReply(422, "the request is quarantined")
+           : NotRunReply(503,
+                         "the request was in flight when a target crashed and "
+                         "can't run here now"),
+         mRefusals.mQuarantine);
 }
 
 void
-TargetProxy::Refuse(ServedId aId, const Reply& aReply)
+TargetProxy::OnTargetRestarted()
 {
-  Served& served = mServed.at(aId);
-  if (served.mExposed) {
-    mHandlers.mReleaseExposure(served.mCall);
-  }
-  if (!served.mCall.mIdempotent) {
-    FinishKey(served.mCall, aReply);
-  }
-  Finish(aId, aReply);
+  mHandlers.mCrashed(mTargetService, mWatch.TakeCrashed(SteadyNow()));
 }
 
 void
@@ -282,12 +343,16 @@
   if (found == mServed.end() || !found->second.mCall.mIdempotent) {
     return;
   }
-  if (found->second.mAtTarget) {
-    mClient.Cancel(found->second.mHttpId);
+  const bool atTarget = found->second.mAtTarget;
+  const HttpClient::CallId httpId = found->second.mHttpId;
+  mServed.erase(found);
+  if (atTarget) {
+    mWatch.OnEnded(aId);
+    mClient.Cancel(httpId);
   } else {
-    std::erase(mQueue, aId);
+    mAdmission.Cancel(aId);
+    WatchQueue();
   }
-  mServed.erase(found);
 }
 
 } // namespace papayaway
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,8 +9,11 @@
 
 #include <keys/KeyLedger.h>
 #include <net/HttpClient.h>
+#include <traffic/AdmissionQueue.h>
+#include <traffic/Quarantine.h>
 #include <wire/Messages.h>
 
+#include "CrashWatch.h"
 #include "LocalTarget.h"
 #include "NodeContext.h"
 
@@ -29,6 +31,18 @@
   std::function<void(const Call&)> mReleaseExposure;
   /** A call has ended at the target. */
   std::function<void(const Call&, bool aFailed, Millis aLatency)> mObserved;
+  /** @return whether a request may run beside those in flight. */
+  std::function<QuarantineVerdict(const std::string& aFingerprint,
+                                  const CrashWatch& aInFlight)>
+    mVerdict;
+  /** The target crashed with these requests in flight. */
+  std::function<void(const std::string& aService,
+                     std::vector<std::string> aFingerprints)>
+    mCrashed;
+  /** The target answered a request. */
+  std::function<void(const std::string& aService,
+                     const std::string& aFingerprint)>
+    mRan;
 };
 
 /** Gives calls to the target of this host, within its slots. */
@@ -49,13 +63,33 @@
    *  goes on, so that its outcome is known. */
   void Cancel(ServedId aId);
 
+  /** Another process took the place of the target, or it refused a
+   *  connection. */
+  void OnTargetRestarted();
+
   /** @return calls at the target and in the queue. */
   [[nodiscard]] std::size_t Load() const;
 
 private:
+  /** Counts refusals by reason. */
+  struct RefusalCounters
+  {
+    explicit RefusalCounters(NodeMetrics& aMetrics);
+
+    prometheus::Counter& mNotReady;
+    prometheus::Counter& mExposure;
+    prometheus::Counter& mQueueFull;
+    prometheus::Counter& mDeadline;
+    prometheus::Counter& mExpiredInQueue;
+    prometheus::Counter& mNotConnected;
+    prometheus::Counter& mKeysFull;
+    prometheus::Counter& mQuarantine;
+  };
+
   struct Served
   {
     Call mCall;
+    std::string mFingerprint;
     ReplyCallback mCallback;
     Millis mArrived;
     Millis mDeadline;
@@ -66,16 +100,22 @@
   };
 
   void Admit(ServedId aId);
-  void StartQueued();
+  void Perform(AdmissionActions aActions);
+  /** @return whether the announced target is of the call's version. */
+  [[nodiscard]] bool HasTargetFor(const Call& aCall) const;
+  void OnTargetFree(CallEnd aEnd, Millis aLatency);
+  void WatchQueue();
   void Send(ServedId aId);
   void OnResult(ServedId aId, HttpResult aResult);
-  void Refuse(ServedId aId, const Reply& aReply);
+  void Refuse(ServedId aId, const Reply& aReply, prometheus::Counter& aReason);
+  void RefuseSuspect(ServedId aId, QuarantineVerdict aVerdict);
   void Finish(ServedId aId, Reply aReply);
   bool AdmitKey(ServedId aId);
+  /** @return whether the call may be sent; a key is sent at most once. */
+  bool DispatchKey(ServedId aId);
   void FinishKey(const Call& aCall, const Reply& aReply);
   void AnswerWaiters(const std::vector<std::uint64_t>& aWaiters,
                      const Reply& aReply);
-  [[nodiscard]] std::size_t Slots() const;
 
   NodeContext& mContext;
   LocalTarget& mTarget;
@@ -84,9 +124,14 @@
   KeyLedger mKeys;
   ServedId mNextId = 1;
   std::unordered_map<ServedId, Served> mServed;
-  std::deque<ServedId> mQueue;
-  std::size_t mAtTarget = 0;
   Millis mLastAnswer;
+  AdmissionQueue mAdmission;
+  CrashWatch mWatch;
+  std::string mTargetService;
+  RefusalCounters mRefusals;
+  prometheus::Gauge& mQueueLength;
+  bool mWatchingQueue = false;
+  Timer mQueueTick;
   Timer mKeyExpiry;
 };
 
--- a/libs/wire/tests/MessagesTest.cpp
+++ b/libs/wire/tests/MessagesTest.cpp
@@ -98,7 +98,10 @@
       name, name, name, name, counter, counter, real, real)),
     Wrapped(construct<RecordCopy>(
       name, counter, counter, counter, AnyBytes(), AnyBytes(), flag)),
-    Wrapped(construct<ErrorMessage>(AnyBytes())));
+    Wrapped(construct<ErrorMessage>(AnyBytes())),
+    Wrapped(construct<CrashReport>(
+      name, name, rc::gen::container<std::vector<std::string>>(name))),
+    Wrapped(construct<SuspectRan>(name, name)));
 }
 
 std::string
