Name the refusals of waiting calls by what they count

Cause: the counter with the reason expired-in-queue also counted calls that a newer one displaced from a full queue under overload.

Change: the reason is dropped-from-queue now.

--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -33,7 +33,7 @@
   , mExposure(RefusalCounter(aMetrics, "exposure"))
   , mQueueFull(RefusalCounter(aMetrics, "queue-full"))
   , mDeadline(RefusalCounter(aMetrics, "deadline"))
-  , mExpiredInQueue(RefusalCounter(aMetrics, "expired-in-queue"))
+  , mDroppedFromQueue(RefusalCounter(aMetrics, "dropped-from-queue"))
   , mNotConnected(RefusalCounter(aMetrics, "not-connected"))
   , mKeysFull(RefusalCounter(aMetrics, "keys-full"))
   , mQuarantine(RefusalCounter(aMetrics, "quarantine"))
@@ -169,7 +169,7 @@
     if (mServed.contains(id)) {
       Refuse(id,
              NotRunReply(503, "the target had no free slot in time"),
-             mRefusals.mExpiredInQueue);
+             mRefusals.mDroppedFromQueue);
     }
   }
 }
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -80,7 +80,8 @@
     prometheus::Counter& mExposure;
     prometheus::Counter& mQueueFull;
     prometheus::Counter& mDeadline;
-    prometheus::Counter& mExpiredInQueue;
+    /** Waited too long, or gave way to a newer call in a full queue. */
+    prometheus::Counter& mDroppedFromQueue;
     prometheus::Counter& mNotConnected;
     prometheus::Counter& mKeysFull;
     prometheus::Counter& mQuarantine;
