Tell in which data centre the last node of a killed run is

Change: a comment line names the killed relays' data centres and that of the last node. The check for the first document is named for what it checks.

--- a/tools/papayaway-lab/Bench.cpp
+++ b/tools/papayaway-lab/Bench.cpp
@@ -95,10 +95,11 @@
       UniformDocument(kDataCentres, kRegions, kServices);
     std::uint64_t version =
       cluster.Promote(cluster.NodeNames().front(), document, 0).value_or(0);
-    mReport.Add({ "cluster." + std::to_string(aNodes) + ".nodes_not_joined",
-                  WaitForVersion(cluster, version, Seconds(20)) ? 0. : 1.,
-                  "runs",
-                  0. });
+    mReport.Add(
+      { "cluster." + std::to_string(aNodes) + ".document_not_in_force",
+        WaitForVersion(cluster, version, Seconds(20)) ? 0. : 1.,
+        "runs",
+        0. });
     cluster.RunFor(kSettle);
 
     const NodeTotals totals = ReadTotals(cluster);
--- a/tools/papayaway-lab/BenchControl.cpp
+++ b/tools/papayaway-lab/BenchControl.cpp
@@ -104,6 +104,17 @@
                 0. });
 }
 
+void
+BenchControl::TellLast(const Cluster& aCluster,
+                       const Convergence& aConvergence,
+                       const std::string& aFault)
+{
+  if (!aConvergence.mLastNode.empty()) {
+    mReport.Comment(aFault + "; the last node is in " +
+                    aCluster.Plan(aConvergence.mLastNode).mDataCentre);
+  }
+}
+
 void
 BenchControl::MeasureChanges(Cluster& aCluster,
                              int aNodes,
@@ -182,21 +193,23 @@
   aVersion = *version;
   WaitForVersion(aCluster, aVersion, kLongest);
   const Convergence others = ReadConvergence(aCluster, aVersion);
-  if (!others.mLastNode.empty()) {
-    mReport.Comment("relay of dc-1 killed; the last node is in " +
-                    aCluster.Plan(others.mLastNode).mDataCentre);
-  }
+  TellLast(aCluster, others, "relay of dc-1 killed");
   ReportConvergence(Prefix(aNodes) + "convergence_relay_killed_", others);
 
   Alter(aDocument);
+  const auto [answer, state] = aCluster.Admin(promoter, "GET", "/v1/status");
   const std::vector<std::string> left = RunningNodes(aCluster);
   version = aCluster.Promote(promoter, aDocument, aVersion);
   const std::int64_t promoted = WallNow().Whole();
   for (std::size_t i = 1; i < left.size(); i += 3) {
     aCluster.NodeProcess(left[i]).Signal(SIGKILL);
   }
+  std::string killedRelays;
   for (std::size_t i = 1; i < left.size(); i += 3) {
     aCluster.NodeProcess(left[i]).Kill();
+    for (const auto& [dataCentre, node] : state["relay"].items()) {
+      killedRelays += node == left[i] ? " " + dataCentre : "";
+    }
   }
   if (!version) {
     throw std::runtime_error("the promotion before the kills failed");
@@ -208,6 +221,7 @@
   for (double& time : survivors.mTimes) {
     time = std::max(time, 0.);
   }
+  TellLast(aCluster, survivors, "killed relays of" + killedRelays);
   ReportConvergence(Prefix(aNodes) + "convergence_third_killed_", survivors);
 }
 
--- a/tools/papayaway-lab/BenchControl.h
+++ b/tools/papayaway-lab/BenchControl.h
@@ -53,6 +53,11 @@
   void ReportConvergence(const std::string& aPrefix,
                          const Convergence& aConvergence);
 
+  /** Prints where the last node is; a change may wait for a relay there. */
+  void TellLast(const Cluster& aCluster,
+                const Convergence& aConvergence,
+                const std::string& aFault);
+
   struct Series
   {
     std::string mUnit;
