--- a/libs/lab/src/Cluster.cpp
+++ b/libs/lab/src/Cluster.cpp
@@ -81,8 +81,7 @@
   std::string seeds;
   int count = 0;
   for (const auto& [name, node] : mNodes) {
-    if (count < kMaxSeeds &&
-        mPlans.at(name).mDataCentre == aPlan.mDataCentre &&
+    if (count < kMaxSeeds && mPlans.at(name).mDataCentre == aPlan.mDataCentre &&
         name != aPlan.mName) {
       ++count;
       seeds += (seeds.empty() ? "" : ", ") + node.Address("peer");
--- a/libs/wire/tests/Generators.h
+++ b/libs/wire/tests/Generators.h
@@ -80,8 +80,7 @@
     map(construct<QuarantineFact>(
           AnyName(), AnyName(), arbitrary<bool>(), SmallNumber(), AnyTime()),
         asFact),
-    map(construct<ConductorFact>(AnyName(), AnyName(), SmallNumber()),
-        asFact));
+    map(construct<ConductorFact>(AnyName(), AnyName(), SmallNumber()), asFact));
 }
 
 } // namespace papayaway
--- a/tools/papayaway-node/Main.cpp
+++ b/tools/papayaway-node/Main.cpp
@@ -71,8 +71,8 @@
     "check-settings", "check the settings and exit");
   options::variables_map values;
   try {
-    options::store(
-      options::parse_command_line(aCount, aArguments, description), values);
+    options::store(options::parse_command_line(aCount, aArguments, description),
+                   values);
   } catch (const options::error& error) {
     std::cerr << "papayaway-node: " << error.what() << "\n";
     return kExitUsage;
