Spread registrations, answer unsent calls as not run, split two files

A call that waited for a link that never opened was answered "unknown", although nothing was sent.

Change: registrations are spread over 4 s, and a node without links waits 3 s before it competes for the lease. Calls that waited for such a link are refused as not run, so that they may be sent elsewhere.

Conclusion: writes of a herd are bounded by the spread.

--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -265,16 +265,20 @@
 }
 
 void
-EntryProxy::OnLinkLost(LinkId aLink)
+EntryProxy::OnLinkLost(const LinkInfo& aLink)
 {
   std::vector<std::uint64_t> lost;
   for (const auto& [id, active] : mCalls) {
-    if (active.mLink == aLink) {
+    if (active.mLink == aLink.mId) {
       lost.push_back(id);
     }
   }
+  // A call that waited for a link that never opened was not sent.
+  const Reply reply = aLink.mEstablished
+                        ? UnknownReply(502, "the link to the node was lost")
+                        : NotRunReply(503, "the node can't be reached");
   for (const std::uint64_t id : lost) {
-    HandleReply(id, UnknownReply(502, "the link to the node was lost"));
+    HandleReply(id, reply);
   }
 }
 
--- a/libs/node/src/EntryProxy.h
+++ b/libs/node/src/EntryProxy.h
@@ -49,7 +49,7 @@
   void OnSnapshot(std::shared_ptr<const RouteTable> aTable);
   void OnReply(const Reply& aReply);
   /** Ends the calls that wait for a reply on a lost link. */
-  void OnLinkLost(LinkId aLink);
+  void OnLinkLost(const LinkInfo& aLink);
 
   /** @return calls that wait for their answer. */
   [[nodiscard]] std::size_t InFlight() const { return mCalls.size(); }
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -1,30 +1,10 @@
-#include <node/Node.h>
+#include "NodeImpl.h"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 #include <glog/logging.h>
 
-#include <config/DocumentParser.h>
-#include <net/HttpServer.h>
-#include <traffic/RouteTable.h>
-
-#include "AdminApi.h"
-#include "EntryProxy.h"
-#include "FactSpreader.h"
-#include "LocalTarget.h"
-#include "MemberAgent.h"
-#include "MoveAgent.h"
-#include "NodeContext.h"
-#include "PeerLinks.h"
-#include "PlatformAgent.h"
-#include "QuarantineAgent.h"
-#include "RecordAgent.h"
-#include "RecordExporter.h"
-#include "Reports.h"
-#include "TargetProxy.h"
-
 namespace papayaway {
 
 namespace {
@@ -35,127 +15,6 @@
 
 } // namespace
 
-struct Node::Impl
-{
-  NodeContext mContext;
-  PeerLinks mLinks;
-  FactSpreader mSpreader;
-  LocalTarget mTarget;
-  TargetProxy mTargetProxy;
-  EntryProxy mEntry;
-  MemberAgent mMembers;
-  PlatformAgent mPlatform;
-  MoveAgent mMoves;
-  QuarantineAgent mQuarantine;
-  RecordAgent mRecords;
-  RecordExporter mExporter;
-  AdminApi mAdmin;
-  std::unique_ptr<HttpServer> mCallerServer;
-  std::unique_ptr<HttpServer> mAdminServer;
-  std::shared_ptr<const RouteTable> mTable;
-  bool mSnapshotScheduled = false;
-  bool mStopping = false;
-  Timer mStopTimer;
-  Millis mStopDeadline;
-  std::function<void()> mOnStopped;
-  /** The calls of peers at the local target, by link and call id. */
-  std::map<std::pair<LinkId, std::uint64_t>, ServedId> mPeerCalls;
-
-  Impl(EventLoop& aLoop, const NodeSettings& aSettings)
-    : mContext(aLoop, aSettings)
-    , mLinks(mContext,
-             { .mOpened = [this](const LinkInfo& aLink) { OnOpened(aLink); },
-               .mLost = [this](const LinkInfo& aLink) { OnLost(aLink); },
-               .mMessage =
-                 [this](const LinkInfo& aLink, Message aMessage) {
-                   OnMessage(aLink, std::move(aMessage));
-                 } })
-    , mSpreader(mContext,
-                mLinks,
-                { .mFactChanged = [this](const Fact& aFact) { OnFact(aFact); },
-                  .mDocumentChanged =
-                    [this] {
-                      mMoves.OnDocumentChanged();
-                      ScheduleSnapshot();
-                    } })
-    , mTarget(
-        mContext,
-        { .mChanged =
-            [this](const EndpointFact& aFact) { mSpreader.Publish(aFact); },
-          .mRestarted = [this] { mTargetProxy.OnTargetRestarted(); } })
-    , mTargetProxy(
-        mContext,
-        mTarget,
-        { .mAdmitExposure =
-            [this](const Call& aCall) { return mMoves.AdmitExposure(aCall); },
-          .mReleaseExposure =
-            [this](const Call& aCall) { mMoves.ReleaseExposure(aCall); },
-          .mObserved =
-            [this](const Call& aCall, bool aFailed, Millis aTime) {
-              mMoves.OnObserved(aCall, aFailed, aTime);
-            },
-          .mVerdict =
-            [this](const std::string& aFingerprint, const CrashWatch& aWatch) {
-              return mQuarantine.Check(aFingerprint, aWatch);
-            },
-          .mCrashed =
-            [this](const std::string& aService,
-                   std::vector<std::string> aFingerprints) {
-              mQuarantine.OnTargetCrashed(aService, std::move(aFingerprints));
-            },
-          .mRan =
-            [this](const std::string& aService,
-                   const std::string& aFingerprint) {
-              mQuarantine.OnRan(aService, aFingerprint);
-            } })
-    , mEntry(
-        mContext,
-        mLinks,
-        mSpreader.Store(),
-        mTargetProxy,
-        { .mAnswered =
-            [this](const Call& aCall,
-                   const std::string& aCustomer,
-                   int aStatus,
-                   Outcome aOutcome) {
-              mRecords.OnAnswered(aCall, aCustomer, aStatus, aOutcome);
-            },
-          .mIsQuarantined =
-            [this](const Call& aCall) {
-              return mQuarantine.IsQuarantined(aCall);
-            },
-          .mMayRetry =
-            [this](const Call& aCall) { return mQuarantine.MayRetry(aCall); } })
-    , mMembers(mContext, mLinks, mSpreader)
-    , mPlatform(mContext, mLinks, mSpreader, mMembers)
-    , mMoves(mContext,
-             mLinks,
-             mSpreader,
-             mPlatform.Client(),
-             [this] { return mPlatform.IsRelay(); })
-    , mQuarantine(mContext, mLinks, mSpreader)
-    , mRecords(mContext, mLinks, mPlatform.Client())
-    , mExporter(mPlatform.Client())
-    , mAdmin(mContext)
-    , mStopTimer(aLoop, [this] { ContinueStop(); })
-  {
-    AddAdminOperations();
-  }
-
-  Expected<void> Start();
-  void AddAdminOperations();
-  void OnOpened(const LinkInfo& aLink);
-  void OnLost(const LinkInfo& aLink);
-  void OnMessage(const LinkInfo& aLink, Message aMessage);
-  void OnCall(const LinkInfo& aLink, Call aCall);
-  void OnCancel(const LinkInfo& aLink, const Cancel& aCancel);
-  void OnFact(const Fact& aFact);
-  void ScheduleSnapshot();
-  void RebuildSnapshot();
-  void ContinueStop();
-  [[nodiscard]] nlohmann::json Status() const;
-};
-
 Expected<void>
 Node::Impl::Start()
 {
@@ -195,89 +54,6 @@
   return {};
 }
 
-nlohmann::json
-Node::Impl::Status() const
-{
-  const NodeSettings& settings = mContext.mSettings;
-  return { { "node", settings.mName },
-           { "data_centre", settings.mDataCentre },
-           { "region", settings.mRegion },
-           { "environment", settings.mEnvironment },
-           { "incarnation", mContext.mIncarnation },
-           { "document",
-             { { "version", mSpreader.Log().Version() },
-               { "hash", mSpreader.Log().Hash() } } },
-           { "members", MembersReport(mSpreader.Store()) },
-           { "links", mLinks.Count() },
-           { "mesh_links", mLinks.MeshLinks().size() },
-           { "relay", RelaysReport(mSpreader.Store()) },
-           { "recovered_from", mSpreader.RecoveredFrom() },
-           { "in_flight", mEntry.InFlight() },
-           { "leaving", mStopping } };
-}
-
-void
-Node::Impl::AddAdminOperations()
-{
-  using Access = AdminApi::Access;
-  using Exchange = AdminApi::Exchange;
-  mAdmin.Add(
-    "POST", "/v1/target", Access::Open, [this](const Exchange& aExchange) {
-      const auto announcement = ParseAnnouncement(aExchange->Request().mBody);
-      if (!announcement) {
-        aExchange->Respond(AdminError(400, announcement.error().mMessage));
-        return;
-      }
-      if (!mStopping) {
-        mTarget.OnAnnouncement(*announcement);
-      }
-      aExchange->Respond(JsonResponse(200, "{}"));
-    });
-  const auto addReport = [this](const std::string& aPath, auto aReport) {
-    mAdmin.Add(
-      "GET", aPath, Access::Operator, [aReport](const Exchange& aExchange) {
-        aExchange->Respond(JsonResponse(200, aReport().dump()));
-      });
-  };
-  addReport("/v1/status", [this] { return Status(); });
-  addReport("/v1/endpoints",
-            [this] { return EndpointsReport(mSpreader.Store()); });
-  addReport("/v1/moves", [this] { return mMoves.Report(); });
-  addReport("/v1/timeline", [this] {
-    return TimelineReport(mContext.mSettings.mName, mContext.mEvents);
-  });
-  mAdmin.Add(
-    "GET", "/v1/document", Access::Operator, [this](const Exchange& aExchange) {
-      mPlatform.OnDocumentRequest(aExchange);
-    });
-  mAdmin.Add(
-    "POST", "/v1/promote", Access::Operator, [this](const Exchange& aExchange) {
-      mPlatform.OnPromote(aExchange);
-    });
-  mAdmin.Add(
-    "POST", "/v1/drain", Access::Operator, [this](const Exchange& aExchange) {
-      mContext.Record({ .mPart = "target",
-                        .mKind = EventKind::Drain,
-                        .mText = "an operator drains the target" });
-      mTarget.Drain();
-      aExchange->Respond(JsonResponse(200, "{}"));
-    });
-  mAdmin.Add(
-    "POST", "/v1/release", Access::Operator, [this](const Exchange& aExchange) {
-      mQuarantine.OnRelease(aExchange);
-    });
-  mAdmin.Add(
-    "GET", "/v1/export", Access::Operator, [this](const Exchange& aExchange) {
-      mExporter.OnRequest(aExchange);
-    });
-  mAdmin.Add(
-    "GET", "/metrics", Access::Open, [this](const Exchange& aExchange) {
-      aExchange->Respond({ .mStatus = 200,
-                           .mHeaders = { { "Content-Type", "text/plain" } },
-                           .mBody = mContext.mMetrics.Text() });
-    });
-}
-
 void
 Node::Impl::OnOpened(const LinkInfo& aLink)
 {
@@ -288,7 +64,7 @@
 void
 Node::Impl::OnLost(const LinkInfo& aLink)
 {
-  mEntry.OnLinkLost(aLink.mId);
+  mEntry.OnLinkLost(aLink);
   mMembers.OnLinkLost(aLink);
   std::erase_if(mPeerCalls, [&](const auto& aEntry) {
     return aEntry.first.first == aLink.mId;
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -197,6 +197,7 @@
     aLink.mSocket->Send(Encode(OwnHello(aHello.mCallsOnly)));
   }
   aLink.mReady = true;
+  aLink.mInfo.mEstablished = true;
   mContext.mMetrics.mLinks.Set(static_cast<double>(mLinks.size()));
   if (const auto wanted = mWanted.find(aHello.mNode); wanted != mWanted.end()) {
     wanted->second.mBackoff.Reset();
--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -31,6 +31,8 @@
   bool mOutgoing = false;
   /** Whether the link carries calls only and takes no part in flooding. */
   bool mCallsOnly = false;
+  /** Whether the handshake was done, before which nothing else is sent. */
+  bool mEstablished = false;
 };
 
 struct PeerLinkHandlers
--- a/libs/node/src/PlatformAgent.cpp
+++ b/libs/node/src/PlatformAgent.cpp
@@ -16,6 +16,9 @@
  *  within 4 s. */
 constexpr int kStandbyPeriods = 4;
 constexpr Millis kDirectoryPeriod = Seconds(1);
+/** Registrations of nodes that start together are spread over this time: 900
+ *  nodes then make 225 writes a second, below the platform's limit. */
+constexpr Millis kRegistrationSpread = Seconds(4);
 
 std::string
 DocumentKey(const std::string& aEnvironment)
@@ -84,7 +87,8 @@
 PlatformAgent::Start(const std::string& aAdminAddress)
 {
   mAdminAddress = aAdminAddress;
-  Register();
+  mRegisterAt =
+    SteadyNow() + kRegistrationSpread * UniformFraction(mContext.mRandom);
   ScanDirectory();
   Poll();
   mRelay.Start();
@@ -135,7 +139,7 @@
 PlatformAgent::ScanDirectory()
 {
   mDirectoryTimer.StartOnce(mContext.Jittered(kDirectoryPeriod));
-  if (!mRegistered) {
+  if (!mRegistered && SteadyNow() >= mRegisterAt) {
     Register();
   }
   if (!mLinks.MeshLinks().empty()) {
--- a/libs/node/src/PlatformAgent.h
+++ b/libs/node/src/PlatformAgent.h
@@ -54,6 +54,7 @@
   RelayAgent mRelay;
   std::string mAdminAddress;
   bool mRegistered = false;
+  Millis mRegisterAt;
   bool mAnswers = true;
   bool mStopped = false;
   int mPeriods = 0;
--- a/libs/node/src/RelayAgent.cpp
+++ b/libs/node/src/RelayAgent.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Millis kTickPeriod{ 250 };
+/** A node that knows no other member yet would claim the lease as the first in
+ *  rank. In a herd of restarts every node would, so it first waits to join. */
+constexpr Millis kJoinTime = Seconds(3);
 constexpr Millis kSearchPeriod = Seconds(1);
 constexpr Millis kDirectoryPeriod = Seconds(30);
 /** Rows that one transaction removes. */
@@ -39,6 +42,7 @@
 void
 RelayAgent::Start()
 {
+  mJoinUntil = SteadyNow() + kJoinTime;
   mTickTimer.StartRepeating(kTickPeriod);
   FindOtherRelays();
   mDirectoryTimer.StartOnce(mContext.Jittered(kDirectoryPeriod));
@@ -77,6 +81,9 @@
 void
 RelayAgent::Tick()
 {
+  if (mLinks.MeshLinks().empty() && SteadyNow() < mJoinUntil) {
+    return;
+  }
   Perform(mElection.Tick(
     SteadyNow(),
     LiveMembers(mSpreader.Store(), mContext.mSettings.mDataCentre),
--- a/libs/node/src/RelayAgent.h
+++ b/libs/node/src/RelayAgent.h
@@ -57,6 +57,8 @@
   MemberAgent& mMembers;
   PlatformClient& mClient;
   RelayElection mElection;
+  /** Until then a node without links does not compete. */
+  Millis mJoinUntil;
   Timer mTickTimer;
   Timer mSearchTimer;
   Timer mDirectoryTimer;
