--- a/build.sh
+++ b/build.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")"
 
 jobs=$(nproc)
+# Compiler results are shared between checkouts in different folders.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 
 usage() {
   echo "usage: ./build.sh demo|test|bench|lint|release" >&2
