Run a key on one node only and finish short moves earlier

Cause: a call with a key that was refused as not run was retried on another node. That node keeps the outcome, so a repetition of the key runs again on the first node once it has a slot.

Change: calls with a key are not retried on other nodes; the refusal, which is true, goes to the caller. The least time of a scarce stage is three quarters of its part of the schedule.

Conclusion: overload alone no longer makes a key run twice.

--- a/libs/node/src/EntryProxy.cpp
+++ b/libs/node/src/EntryProxy.cpp
@@ -215,7 +215,9 @@
       (aReply.mOutcome == Outcome::NotRun && aReply.mStatus != 503)) {
     return false;
   }
-  if (!mHandlers.mMayRetry(aActive.mCall)) {
+  // Each node keeps the outcomes of the keys it ran. A key that runs on another
+  // node because this one had no slot would run again when it is repeated.
+  if (!aActive.mCall.mIdempotent || !mHandlers.mMayRetry(aActive.mCall)) {
     return false;
   }
   const std::uint64_t exhausted = mRetryBudget.Exhausted();
--- a/libs/rollout/include/rollout/ShareSchedule.h
+++ b/libs/rollout/include/rollout/ShareSchedule.h
@@ -52,7 +52,7 @@
   {
     return std::min(
       Shortest(aStage, aDeadline) * 2,
-      std::max(Shortest(aStage, aDeadline), aDeadline * mScarceStage * 0.9));
+      std::max(Shortest(aStage, aDeadline), aDeadline * mScarceStage * 0.75));
   }
 
   /** @return the time from the start of the move after which aStage ends
