--- a/cmake/Library.cmake
+++ b/cmake/Library.cmake
@@ -1,14 +1,18 @@
-# papayaway_library(NAME DEPENDS targets... [TEST_DEPENDS targets...]
-#                   [TEST_PROGRAMS targets...])
+# papayaway_library(NAME [SOURCE_DIR folder] DEPENDS targets...
+#                   [TEST_DEPENDS targets...] [TEST_PROGRAMS targets...])
 #
-# Declares the static library of libs/NAME from src/*.cpp, its test program
+# Declares the static library of libs/NAME, or of SOURCE_DIR, from src/*.cpp, its test program
 # from tests/*.cpp and its benchmark program from benchmark/*.cpp. Tests of a
 # library with TEST_PROGRAMS start these programs from the folder
 # PAPAYAWAY_PROGRAM_DIR; they measure times, so ctest runs nothing beside them.
 function(papayaway_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS;TEST_PROGRAMS"
-    ${ARGN})
-  set(dir ${CMAKE_CURRENT_SOURCE_DIR}/${name})
+  cmake_parse_arguments(ARG "" "SOURCE_DIR"
+    "DEPENDS;TEST_DEPENDS;TEST_PROGRAMS" ${ARGN})
+  if(ARG_SOURCE_DIR)
+    set(dir ${ARG_SOURCE_DIR})
+  else()
+    set(dir ${CMAKE_CURRENT_SOURCE_DIR}/${name})
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/src/*.cpp)
   if(sources)
     add_library(${name} STATIC ${sources})
@@ -21,7 +25,7 @@
   endif()
 
   file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*.cpp)
-  if(tests)
+  if(tests AND NOT PAPAYAWAY_DEPLOY)
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE ${name} ${ARG_TEST_DEPENDS}
       rapidcheck GTest::gtest_main)
@@ -40,7 +44,7 @@
   endif()
 
   file(GLOB benchmarks CONFIGURE_DEPENDS ${dir}/benchmark/*.cpp)
-  if(benchmarks AND NOT PAPAYAWAY_SANITIZE)
+  if(benchmarks AND NOT PAPAYAWAY_SANITIZE AND NOT PAPAYAWAY_DEPLOY)
     add_executable(benchmark_${name} ${benchmarks})
     target_link_libraries(benchmark_${name} PRIVATE ${name}
       benchmark::benchmark benchmark::benchmark_main)
@@ -71,7 +75,7 @@
   install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 
   file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*.cpp)
-  if(tests)
+  if(tests AND NOT PAPAYAWAY_DEPLOY)
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE ${depends} rapidcheck
       GTest::gtest_main)
--- a/libs/config/src/NodeSettings.cpp
+++ b/libs/config/src/NodeSettings.cpp
@@ -1,16 +1,14 @@
 #include <config/NodeSettings.h>
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
-#include <map>
-
-#include <arpa/inet.h>
 
 #include <config/Names.h>
 #include <config/SettingsKeys.h>
 
 #include "IniReader.h"
+#include "SettingsReader.h"
+#include "SettingsValues.h"
 #include "SortFindings.h"
 
 namespace papayaway {
@@ -26,34 +24,7 @@
 // A body and its headers must fit into one peer frame of 4 MiB.
 constexpr std::uint64_t kMostBody = 3 * kMiB;
 
-// Stores a value. @return what is wrong with it, or "".
-using Setter = std::function<std::string(NodeSettings&, const std::string&)>;
-
-struct KeyRule
-{
-  SettingsKey mKey;
-  Setter mSet;
-  /** Whether the key may appear again to add to its list. */
-  bool mRepeats = false;
-};
-
-bool
-IsAddress(std::string_view aText, bool aAnyPort)
-{
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
-  }
-  const std::string host(aText.substr(0, colon));
-  const std::string_view digits = aText.substr(colon + 1);
-  const char* const end = digits.data() + digits.size();
-  std::uint16_t port = 0;
-  const auto parsed = std::from_chars(digits.data(), end, port);
-  in_addr address{};
-  return parsed.ec == std::errc() && parsed.ptr == end &&
-         (aAnyPort || port != 0) &&
-         inet_pton(AF_INET, host.c_str(), &address) == 1;
-}
+using Setter = KeyRule<NodeSettings>::Setter;
 
 Setter
 Name(std::string NodeSettings::*aMember)
@@ -99,18 +70,12 @@
        std::uint64_t aMost)
 {
   return [=](NodeSettings& aSettings, const std::string& aValue) {
-    const char* const end = aValue.data() + aValue.size();
     std::uint64_t number = 0;
-    const auto parsed = std::from_chars(aValue.data(), end, number);
-    if (parsed.ptr != end || parsed.ec == std::errc::invalid_argument) {
-      return "\"" + aValue + "\" is not a whole number";
-    }
-    if (parsed.ec != std::errc() || number < aLeast || number > aMost) {
-      return "must be from " + std::to_string(aLeast) + " to " +
-             std::to_string(aMost);
+    std::string fault = ParseWhole(aValue, aLeast, aMost, number);
+    if (fault.empty()) {
+      aStore(aSettings, number);
     }
-    aStore(aSettings, number);
-    return std::string();
+    return fault;
   };
 }
 
@@ -137,11 +102,11 @@
   }
 }
 
-const std::vector<KeyRule>&
+const std::vector<KeyRule<NodeSettings>>&
 Rules()
 {
   using S = NodeSettings;
-  static const std::vector<KeyRule> rules = {
+  static const std::vector<KeyRule<NodeSettings>> rules = {
     { { "node", "name", true }, Name(&S::mName) },
     { { "node", "data_centre", true }, Name(&S::mDataCentre) },
     { { "node", "region", true }, Name(&S::mRegion) },
@@ -174,99 +139,13 @@
   return rules;
 }
 
-std::string
-PathOf(const std::string& aSection, const std::string& aKey)
-{
-  return "[" + aSection + "]" + (aKey.empty() ? "" : " " + aKey);
-}
-
-// Applies the entries to settings and collects what is wrong.
-class SettingsReader
-{
-public:
-  SettingsReader(const std::string& aFile, Findings& aFindings)
-    : mFile(aFile)
-    , mFindings(aFindings)
-  {
-  }
-
-  NodeSettings Read(const IniContent& aContent)
-  {
-    for (const IniEntry& section : aContent.mSections) {
-      if (!IsKnownSection(section.mSection)) {
-        Report(section, "unknown section");
-      }
-    }
-    for (const IniEntry& entry : aContent.mEntries) {
-      Apply(entry);
-    }
-    for (const KeyRule& rule : Rules()) {
-      const std::string path = PathOf(rule.mKey.mSection, rule.mKey.mName);
-      if (rule.mKey.mRequired && mLineOf.count(path) == 0) {
-        mFindings.push_back({ mFile, 0, path, "the key is missing" });
-      }
-    }
-    return std::move(mSettings);
-  }
-
-private:
-  static bool IsKnownSection(const std::string& aName)
-  {
-    return std::any_of(
-      Rules().begin(), Rules().end(), [&](const KeyRule& aRule) {
-        return aRule.mKey.mSection == aName;
-      });
-  }
-
-  void Apply(const IniEntry& aEntry)
-  {
-    const auto rule =
-      std::find_if(Rules().begin(), Rules().end(), [&](const KeyRule& aRule) {
-        return aRule.mKey.mSection == aEntry.mSection &&
-               aRule.mKey.mName == aEntry.mKey;
-      });
-    if (rule == Rules().end()) {
-      // The keys of an unknown section are covered by its own finding.
-      if (aEntry.mSection.empty() || IsKnownSection(aEntry.mSection)) {
-        Report(aEntry, "unknown key");
-      }
-      return;
-    }
-    const auto [at, first] =
-      mLineOf.emplace(PathOf(aEntry.mSection, aEntry.mKey), aEntry.mLine);
-    if (!first && !rule->mRepeats) {
-      Report(aEntry,
-             "the key appears again; it is also on line " +
-               std::to_string(at->second));
-      return;
-    }
-    std::string fault = rule->mSet(mSettings, aEntry.mValue);
-    if (!fault.empty()) {
-      Report(aEntry, std::move(fault));
-    }
-  }
-
-  void Report(const IniEntry& aEntry, std::string aMessage)
-  {
-    mFindings.push_back({ mFile,
-                          aEntry.mLine,
-                          PathOf(aEntry.mSection, aEntry.mKey),
-                          std::move(aMessage) });
-  }
-
-  const std::string& mFile;
-  Findings& mFindings;
-  NodeSettings mSettings;
-  std::map<std::string, int> mLineOf;
-};
-
 } // namespace
 
 std::vector<SettingsKey>
 KnownSettingsKeys()
 {
   std::vector<SettingsKey> keys;
-  for (const KeyRule& rule : Rules()) {
+  for (const KeyRule<NodeSettings>& rule : Rules()) {
     keys.push_back(rule.mKey);
   }
   return keys;
@@ -277,7 +156,8 @@
 {
   Findings findings;
   const IniContent content = ReadIni(aText, aFile, findings);
-  NodeSettings settings = SettingsReader(aFile, findings).Read(content);
+  NodeSettings settings =
+    SettingsReader<NodeSettings>(Rules(), aFile, findings).Read(content);
   if (!findings.empty()) {
     SortByLine(findings);
     return tl::unexpected(std::move(findings));
--- /dev/null
+++ b/libs/config/src/SidecarSettings.cpp
@@ -0,0 +1,99 @@
+#include <config/SidecarSettings.h>
+
+#include <charconv>
+
+#include <config/Names.h>
+
+#include "SettingsReader.h"
+#include "SettingsValues.h"
+#include "SortFindings.h"
+
+namespace papayaway {
+
+namespace {
+
+using S = SidecarSettings;
+using Setter = KeyRule<S>::Setter;
+
+Setter
+Name(std::string S::*aMember)
+{
+  return [aMember](S& aSettings, const std::string& aValue) {
+    aSettings.*aMember = aValue;
+    return IsValidName(aValue) ? "" : "the name " + std::string(kNameRule);
+  };
+}
+
+Setter
+Address(std::string S::*aMember, bool aAnyPort)
+{
+  return [=](S& aSettings, const std::string& aValue) {
+    aSettings.*aMember = aValue;
+    return IsAddress(aValue, aAnyPort)
+             ? ""
+             : "\"" + aValue + "\" is not an address IPv4:port";
+  };
+}
+
+Setter
+Duration(Millis S::*aMember, std::uint64_t aLeast, std::uint64_t aMost)
+{
+  return [=](S& aSettings, const std::string& aValue) {
+    std::uint64_t number = 0;
+    std::string fault = ParseWhole(aValue, aLeast, aMost, number);
+    aSettings.*aMember = Millis{ static_cast<double>(number) };
+    return fault;
+  };
+}
+
+std::string
+RepeatShare(S& aSettings, const std::string& aValue)
+{
+  const char* const end = aValue.data() + aValue.size();
+  const auto parsed =
+    std::from_chars(aValue.data(), end, aSettings.mRepeatShare);
+  return parsed.ec == std::errc() && parsed.ptr == end &&
+             aSettings.mRepeatShare >= 0 && aSettings.mRepeatShare <= 1
+           ? ""
+           : "\"" + aValue + "\" is not a number from 0 to 1";
+}
+
+const std::vector<KeyRule<S>>&
+Rules()
+{
+  static const std::vector<KeyRule<S>> rules = {
+    { { "node", "name", true }, Name(&S::mName) },
+    { { "node", "data_centre", true }, Name(&S::mDataCentre) },
+    { { "node", "region", true }, Name(&S::mRegion) },
+    { { "listen", "caller", true }, Address(&S::mCallerAddress, true) },
+    { { "listen", "admin", true }, Address(&S::mAdminAddress, true) },
+    { { "listen", "readiness", true }, Address(&S::mReadinessAddress, true) },
+    { { "listen", "metrics", true }, Address(&S::mMetricsAddress, true) },
+    { { "listen", "peer", true }, Address(&S::mPeerAddress, true) },
+    { { "target", "address", true }, Address(&S::mTargetAddress, false) },
+    { { "target", "service", true }, Name(&S::mService) },
+    { { "target", "check_in_ms" }, Duration(&S::mCheckInPeriod, 10, 600'000) },
+    { { "store", "address", true }, Address(&S::mStoreAddress, false) },
+    { { "limits", "grace_ms" }, Duration(&S::mGrace, 0, 600'000) },
+    { { "limits", "repeat_share" }, RepeatShare },
+  };
+  return rules;
+}
+
+} // namespace
+
+tl::expected<SidecarSettings, Findings>
+ParseSidecarSettings(std::string_view aText, const std::string& aFile)
+{
+  Findings findings;
+  const IniContent content = ReadIni(aText, aFile, findings);
+  SidecarSettings settings =
+    SettingsReader<S>(Rules(), aFile, findings).Read(content);
+  if (!findings.empty()) {
+    SortByLine(findings);
+    return tl::unexpected(std::move(findings));
+  }
+  return settings;
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/gateway/include/gateway/RunTimes.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include <base/Millis.h>
+
+namespace papayaway::gateway {
+
+/** Learns how long the requests of each route run at one target. */
+class RunTimes
+{
+public:
+  /** Assumed before the first request of any route has run. */
+  static constexpr Millis kInitial{ 150 };
+  /** The weight of a new run, so that about the last 10 count. */
+  static constexpr double kNewWeight = 0.1;
+  /** Mean deviations above the mean within which about 9 in 10 runs end. */
+  static constexpr double kTailDeviations = 1.6;
+
+  void OnRun(std::string_view aRoute, Millis aTime);
+
+  /** @return the mean time of the route, or of all routes if it has none. */
+  [[nodiscard]] Millis Mean(std::string_view aRoute) const;
+
+  /** @return the time within which about 9 in 10 runs of the route end. */
+  [[nodiscard]] Millis Tail(std::string_view aRoute) const;
+
+  /** @return the mean over the runs of all routes. */
+  [[nodiscard]] Millis Overall() const { return mOverall; }
+
+private:
+  struct Estimate
+  {
+    Millis mMean;
+    Millis mDeviation;
+  };
+  struct StringHash
+  {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view aText) const
+    {
+      return std::hash<std::string_view>()(aText);
+    }
+  };
+
+  std::unordered_map<std::string, Estimate, StringHash, std::equal_to<>>
+    mRoutes;
+  Millis mOverall = kInitial;
+};
+
+} // namespace papayaway::gateway
--- /dev/null
+++ b/libs/gateway/src/RunTimes.cpp
@@ -0,0 +1,49 @@
+#include <gateway/RunTimes.h>
+
+#include <cmath>
+
+namespace papayaway::gateway {
+
+namespace {
+
+Millis
+Blend(Millis aOld, Millis aNew)
+{
+  return aOld * (1 - RunTimes::kNewWeight) + aNew * RunTimes::kNewWeight;
+}
+
+} // namespace
+
+void
+RunTimes::OnRun(std::string_view aRoute, Millis aTime)
+{
+  mOverall = Blend(mOverall, aTime);
+  const auto found = mRoutes.find(aRoute);
+  if (found == mRoutes.end()) {
+    mRoutes.emplace(std::string(aRoute),
+                    Estimate{ .mMean = aTime, .mDeviation = aTime * 0.5 });
+    return;
+  }
+  Estimate& estimate = found->second;
+  estimate.mDeviation = Blend(
+    estimate.mDeviation, Millis{ std::abs((aTime - estimate.mMean).mCount) });
+  estimate.mMean = Blend(estimate.mMean, aTime);
+}
+
+Millis
+RunTimes::Mean(std::string_view aRoute) const
+{
+  const auto found = mRoutes.find(aRoute);
+  return found == mRoutes.end() ? mOverall : found->second.mMean;
+}
+
+Millis
+RunTimes::Tail(std::string_view aRoute) const
+{
+  const auto found = mRoutes.find(aRoute);
+  return found == mRoutes.end()
+           ? mOverall * 2
+           : found->second.mMean + found->second.mDeviation * kTailDeviations;
+}
+
+} // namespace papayaway::gateway
--- /dev/null
+++ b/libs/http/src/CallerServer.cpp
@@ -0,0 +1,392 @@
+#include <http/CallerServer.h>
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <http/HttpText.h>
+#include <http/TcpStream.h>
+
+namespace papayaway {
+
+namespace {
+
+/** Requests of one connection that may wait at a time. */
+constexpr std::size_t kMaxWaiting = 32;
+/** Half of the descriptors of a small host. */
+constexpr std::size_t kMaxConnections = 2000;
+/** How exactly the time-outs of connections are kept. */
+constexpr Millis kSweepPeriod{ 500 };
+
+int
+StatusOf(ParseFailure aFailure)
+{
+  switch (aFailure) {
+    case ParseFailure::HeadersTooLarge:
+      return 431;
+    case ParseFailure::BodyTooLarge:
+      return 413;
+    case ParseFailure::None:
+    case ParseFailure::Malformed:
+      break;
+  }
+  return 400;
+}
+
+} // namespace
+
+bool
+CallerLimits::operator==(const CallerLimits& aOther) const
+{
+  return mSizes.mMaxHeaderBytes == aOther.mSizes.mMaxHeaderBytes &&
+         mSizes.mMaxBodyBytes == aOther.mSizes.mMaxBodyBytes &&
+         mHeaderTimeout == aOther.mHeaderTimeout &&
+         mIdleTimeout == aOther.mIdleTimeout;
+}
+
+struct CallerServer::Impl
+{
+  EventLoop& mLoop;
+  CallerLimits mLimits;
+  Handler mHandler;
+  std::unique_ptr<TcpListener> mListener;
+  std::string mAddress;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> mConnections;
+  Timer mSweep;
+  bool mCloseAfterResponses = false;
+  std::size_t mInFlight = 0;
+
+  Impl(EventLoop& aLoop, const CallerLimits& aLimits, Handler aHandler)
+    : mLoop(aLoop)
+    , mLimits(aLimits)
+    , mHandler(std::move(aHandler))
+    , mSweep(aLoop, [this] { Sweep(); })
+  {
+  }
+
+  void Accept(std::shared_ptr<TcpStream> aStream);
+  void Sweep();
+  void CloseIdle(bool aAll);
+};
+
+class CallerServer::Connection
+  : public std::enable_shared_from_this<CallerServer::Connection>
+{
+public:
+  Connection(Impl& aServer, std::shared_ptr<TcpStream> aStream)
+    : mServer(&aServer)
+    , mStream(std::move(aStream))
+    , mParser(
+        MessageParser::Kind::Request,
+        aServer.mLimits.mSizes,
+        [this](HttpMessage aMessage) { return OnMessage(std::move(aMessage)); })
+    , mLastActivity(SteadyNow())
+  {
+    mParser.OnHeaders([this](const HttpMessage& aMessage) {
+      if (EqualIgnoringCase(aMessage.mHeaders.Value("Expect"),
+                            "100-continue") &&
+          mWaiting.empty()) {
+        mStream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    });
+  }
+
+  void Start()
+  {
+    mStream->Start(
+      { .mBytes = [this](std::string_view aBytes) { OnBytes(aBytes); },
+        .mEnded = [this](bool) { End(); } });
+  }
+
+  /** Applies the time-outs of the connection. */
+  void Check(Millis aNow, const CallerLimits& aLimits)
+  {
+    if (mParser.InMessage()) {
+      const bool late = mParser.InHeaders()
+                          ? aNow - mMessageBegan > aLimits.mHeaderTimeout
+                          : aNow - mLastActivity > aLimits.mIdleTimeout;
+      if (late && !mRefusing) {
+        RefuseRest(408);
+      }
+      return;
+    }
+    if (mWaiting.empty() && aNow - mLastActivity > aLimits.mIdleTimeout) {
+      End();
+    }
+  }
+
+  [[nodiscard]] bool Idle() const
+  {
+    return mWaiting.empty() && !mParser.InMessage();
+  }
+
+  /** Ends the connection and tells the owners of waiting requests. */
+  void End()
+  {
+    if (mServer == nullptr) {
+      return;
+    }
+    const std::shared_ptr<Connection> keep = shared_from_this();
+    Impl& server = *std::exchange(mServer, nullptr);
+    mStream->Close();
+    Abandon(server);
+    server.mConnections.erase(this);
+    // A callback of the parser may be on the stack.
+    server.mLoop.Defer([keep] {});
+  }
+
+private:
+  struct Exchange : CallerExchange
+  {
+    std::weak_ptr<Connection> mConnection;
+    HttpMessage mRequest;
+    std::function<void()> mOnAbandoned;
+    std::string mResponse;
+    bool mReady = false;
+    bool mClose = false;
+
+    [[nodiscard]] const HttpMessage& Request() const override
+    {
+      return mRequest;
+    }
+
+    void Respond(CallerResponse aResponse) override
+    {
+      const std::shared_ptr<Connection> connection = mConnection.lock();
+      if (connection && !mReady) {
+        connection->OnResponse(*this, std::move(aResponse));
+      }
+    }
+
+    void OnAbandoned(std::function<void()> aCallback) override
+    {
+      mOnAbandoned = std::move(aCallback);
+    }
+  };
+
+  void Abandon(Impl& aServer)
+  {
+    while (!mWaiting.empty()) {
+      const std::shared_ptr<Exchange> exchange = std::move(mWaiting.front());
+      mWaiting.pop_front();
+      --aServer.mInFlight;
+      exchange->mConnection.reset();
+      if (!exchange->mReady && exchange->mOnAbandoned) {
+        exchange->mOnAbandoned();
+      }
+    }
+  }
+
+  void OnBytes(std::string_view aBytes)
+  {
+    const std::shared_ptr<Connection> keep = shared_from_this();
+    mLastActivity = SteadyNow();
+    if (mRefusing) {
+      return;
+    }
+    if (!mParser.InMessage()) {
+      mMessageBegan = mLastActivity;
+      mParser.SetLimits(mServer->mLimits.mSizes);
+    }
+    mParser.Feed(aBytes);
+    if (mServer != nullptr && !mRefusing &&
+        mParser.Failure() != ParseFailure::None) {
+      RefuseRest(StatusOf(mParser.Failure()));
+    }
+  }
+
+  bool OnMessage(HttpMessage aMessage)
+  {
+    auto exchange = std::make_shared<Exchange>();
+    exchange->mConnection = weak_from_this();
+    exchange->mClose = !aMessage.mKeepAlive;
+    exchange->mRequest = std::move(aMessage);
+    mMessageBegan = mLastActivity;
+    mWaiting.push_back(exchange);
+    ++mServer->mInFlight;
+    mRefusing = exchange->mClose;
+    const bool wasIdle = mWaiting.size() == 1;
+    mServer->mHandler(exchange);
+    if (mServer != nullptr && !wasIdle && mWaiting.size() >= kMaxWaiting) {
+      mStream->SetReading(false);
+    }
+    return mServer != nullptr && !mRefusing;
+  }
+
+  /** Answers what is not a request, behind the requests before it. */
+  void RefuseRest(int aStatus)
+  {
+    mRefusing = true;
+    auto exchange = std::make_shared<Exchange>();
+    exchange->mConnection = weak_from_this();
+    exchange->mClose = true;
+    mWaiting.push_back(exchange);
+    ++mServer->mInFlight;
+    exchange->Respond({ .mStatus = aStatus, .mClose = true });
+  }
+
+  void OnResponse(Exchange& aExchange, CallerResponse aResponse)
+  {
+    aExchange.mClose =
+      aExchange.mClose || aResponse.mClose || mServer->mCloseAfterResponses;
+    aExchange.mResponse =
+      ResponseText({ .mStatus = aResponse.mStatus,
+                     .mHeaders = std::move(aResponse.mHeaders),
+                     .mBody = std::move(aResponse.mBody) },
+                   aExchange.mClose,
+                   aExchange.mRequest.mMethod == "HEAD");
+    aExchange.mReady = true;
+    WriteReady();
+  }
+
+  void WriteReady()
+  {
+    const std::shared_ptr<Connection> keep = shared_from_this();
+    while (mServer != nullptr && !mWaiting.empty() &&
+           mWaiting.front()->mReady) {
+      const std::shared_ptr<Exchange> exchange = std::move(mWaiting.front());
+      mWaiting.pop_front();
+      --mServer->mInFlight;
+      mLastActivity = SteadyNow();
+      mStream->Write(exchange->mResponse);
+      if (exchange->mClose) {
+        Impl& server = *std::exchange(mServer, nullptr);
+        mStream->CloseWhenWritten();
+        Abandon(server);
+        server.mConnections.erase(this);
+        server.mLoop.Defer([keep] {});
+        return;
+      }
+    }
+    if (mServer != nullptr && mWaiting.size() < kMaxWaiting) {
+      mStream->SetReading(true);
+    }
+  }
+
+  Impl* mServer;
+  std::shared_ptr<TcpStream> mStream;
+  MessageParser mParser;
+  std::deque<std::shared_ptr<Exchange>> mWaiting;
+  Millis mLastActivity;
+  Millis mMessageBegan;
+  /** No more requests are read. */
+  bool mRefusing = false;
+};
+
+void
+CallerServer::Impl::Accept(std::shared_ptr<TcpStream> aStream)
+{
+  if (mConnections.size() >= kMaxConnections) {
+    aStream->Close();
+    return;
+  }
+  auto connection = std::make_shared<Connection>(*this, std::move(aStream));
+  mConnections.emplace(connection.get(), connection);
+  connection->Start();
+}
+
+void
+CallerServer::Impl::Sweep()
+{
+  const Millis now = SteadyNow();
+  std::vector<std::shared_ptr<Connection>> connections;
+  connections.reserve(mConnections.size());
+  for (const auto& entry : mConnections) {
+    connections.push_back(entry.second);
+  }
+  for (const std::shared_ptr<Connection>& connection : connections) {
+    connection->Check(now, mLimits);
+  }
+}
+
+void
+CallerServer::Impl::CloseIdle(bool aAll)
+{
+  std::vector<std::shared_ptr<Connection>> connections;
+  for (const auto& entry : mConnections) {
+    if (aAll || entry.second->Idle()) {
+      connections.push_back(entry.second);
+    }
+  }
+  for (const std::shared_ptr<Connection>& connection : connections) {
+    connection->End();
+  }
+}
+
+CallerServer::CallerServer(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+CallerServer::~CallerServer()
+{
+  mImpl->mListener.reset();
+  mImpl->CloseIdle(true);
+}
+
+Expected<std::unique_ptr<CallerServer>>
+CallerServer::Listen(EventLoop& aLoop,
+                     const std::string& aAddress,
+                     const CallerLimits& aLimits,
+                     Handler aHandler)
+{
+  auto impl = std::make_unique<Impl>(aLoop, aLimits, std::move(aHandler));
+  Impl* const raw = impl.get();
+  auto listener = TcpListener::Listen(
+    aLoop, aAddress, [raw](std::shared_ptr<TcpStream> aStream) {
+      raw->Accept(std::move(aStream));
+    });
+  if (!listener) {
+    return tl::unexpected(listener.error());
+  }
+  impl->mListener = std::move(*listener);
+  impl->mAddress = impl->mListener->Address();
+  impl->mSweep.StartRepeating(kSweepPeriod);
+  return std::unique_ptr<CallerServer>(new CallerServer(std::move(impl)));
+}
+
+void
+CallerServer::SetLimits(const CallerLimits& aLimits)
+{
+  mImpl->mLimits = aLimits;
+}
+
+void
+CallerServer::CloseAfterResponses()
+{
+  mImpl->mCloseAfterResponses = true;
+}
+
+void
+CallerServer::CloseIdle()
+{
+  mImpl->CloseIdle(false);
+}
+
+void
+CallerServer::StopAccepting()
+{
+  mImpl->mListener.reset();
+}
+
+const std::string&
+CallerServer::Address() const
+{
+  return mImpl->mAddress;
+}
+
+std::size_t
+CallerServer::InFlight() const
+{
+  return mImpl->mInFlight;
+}
+
+std::size_t
+CallerServer::Connections() const
+{
+  return mImpl->mConnections.size();
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/http/src/TcpStream.cpp
@@ -0,0 +1,299 @@
+#include <http/TcpStream.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <net/SocketAddress.h>
+
+namespace papayaway {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
+/** Accepted at once before other events of the loop get their turn. */
+constexpr int kAcceptBatch = 32;
+/** Milliseconds after which unacknowledged bytes end a connection; a peer
+ *  behind a partition would otherwise hold it for minutes. */
+constexpr unsigned int kUserTimeout = 6000;
+
+void
+Configure(int aDescriptor)
+{
+  const int on = 1;
+  setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(aDescriptor,
+             IPPROTO_TCP,
+             TCP_USER_TIMEOUT,
+             &kUserTimeout,
+             sizeof(kUserTimeout));
+}
+
+} // namespace
+
+std::shared_ptr<TcpStream>
+TcpStream::Adopt(EventLoop& aLoop, int aDescriptor)
+{
+  Configure(aDescriptor);
+  return std::make_shared<TcpStream>(aLoop, aDescriptor, false);
+}
+
+std::shared_ptr<TcpStream>
+TcpStream::Connect(EventLoop& aLoop, const std::string& aAddress)
+{
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  auto stream = std::make_shared<TcpStream>(aLoop, descriptor, true);
+  const Expected<sockaddr_in> address = ParseAddress(aAddress);
+  bool started = descriptor >= 0 && address.has_value();
+  if (started) {
+    Configure(descriptor);
+    started = connect(descriptor,
+                      reinterpret_cast<const sockaddr*>(&*address),
+                      sizeof(*address)) == 0 ||
+              errno == EINPROGRESS;
+  }
+  if (!started) {
+    aLoop.Defer([stream] { stream->End(false); });
+  }
+  return stream;
+}
+
+TcpStream::TcpStream(EventLoop& aLoop, int aDescriptor, bool aConnecting)
+  : mLoop(aLoop)
+  , mDescriptor(aDescriptor)
+  , mConnecting(aConnecting)
+{
+}
+
+TcpStream::~TcpStream()
+{
+  mWatcher.reset();
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+  }
+}
+
+void
+TcpStream::Start(TcpStreamHandlers aHandlers)
+{
+  mHandlers = std::move(aHandlers);
+  if (mDescriptor < 0) {
+    return;
+  }
+  mWatcher = std::make_unique<IoWatcher>(
+    mLoop, mDescriptor, [this](bool aRead, bool aWrite) {
+      const std::shared_ptr<TcpStream> keep = shared_from_this();
+      OnReady(aRead, aWrite);
+    });
+  Watch();
+}
+
+void
+TcpStream::Watch()
+{
+  if (mWatcher && !mClosed) {
+    mWatcher->Watch(!mConnecting && (mReading || mClosing),
+                    mConnecting || !mUnsent.empty());
+  }
+}
+
+void
+TcpStream::OnReady(bool aRead, bool aWrite)
+{
+  if (mConnecting) {
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+      End(false);
+      return;
+    }
+    mConnecting = false;
+    mHandlers.mConnected();
+    Flush();
+    return;
+  }
+  if (aWrite) {
+    Flush();
+  }
+  if (aRead && !mClosed) {
+    Read();
+  }
+}
+
+void
+TcpStream::Read()
+{
+  static std::array<char, kReadBufferSize> buffer;
+  const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+  if (length > 0) {
+    if (!mClosing) {
+      mHandlers.mBytes({ buffer.data(), static_cast<std::size_t>(length) });
+    }
+  } else if (length == 0) {
+    End(true);
+  } else if (errno != EAGAIN && errno != EINTR) {
+    End(false);
+  }
+}
+
+void
+TcpStream::Write(std::string_view aBytes)
+{
+  if (mClosed || mClosing) {
+    return;
+  }
+  mUnsent.append(aBytes);
+  if (!mConnecting) {
+    Flush();
+  }
+}
+
+void
+TcpStream::Flush()
+{
+  if (mClosed) {
+    return;
+  }
+  if (!mUnsent.empty()) {
+    const ssize_t length =
+      send(mDescriptor, mUnsent.data(), mUnsent.size(), MSG_NOSIGNAL);
+    if (length < 0 && errno != EAGAIN && errno != EINTR) {
+      // Not inside the call of an owner, who may not expect to be told now.
+      mLoop.Defer([self = shared_from_this()] { self->End(false); });
+      return;
+    }
+    if (length > 0) {
+      mUnsent.erase(0, static_cast<std::size_t>(length));
+    }
+  }
+  if (mClosing && mUnsent.empty()) {
+    Close();
+    return;
+  }
+  Watch();
+}
+
+void
+TcpStream::SetReading(bool aReading)
+{
+  if (mReading != aReading) {
+    mReading = aReading;
+    Watch();
+  }
+}
+
+void
+TcpStream::End(bool aOrderly)
+{
+  if (mClosed) {
+    return;
+  }
+  const auto ended = std::move(mHandlers.mEnded);
+  Close();
+  if (ended) {
+    ended(aOrderly);
+  }
+}
+
+void
+TcpStream::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  if (mWatcher) {
+    mWatcher->Watch(false, false);
+  }
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+    mDescriptor = -1;
+  }
+  // A handler may be on the stack, so the handlers live to the end of the
+  // iteration.
+  mLoop.Defer([self = shared_from_this()] { self->mHandlers = {}; });
+}
+
+void
+TcpStream::CloseWhenWritten()
+{
+  if (mClosed || mClosing) {
+    return;
+  }
+  mClosing = true;
+  if (!mConnecting) {
+    Flush();
+  }
+}
+
+TcpListener::TcpListener(
+  EventLoop& aLoop,
+  int aDescriptor,
+  std::string aAddress,
+  std::function<void(std::shared_ptr<TcpStream>)> aAccepted)
+  : mLoop(aLoop)
+  , mDescriptor(aDescriptor)
+  , mAddress(std::move(aAddress))
+  , mAccepted(std::move(aAccepted))
+  , mWatcher(std::make_unique<IoWatcher>(aLoop,
+                                         aDescriptor,
+                                         [this](bool, bool) { Accept(); }))
+{
+  mWatcher->Watch(true, false);
+}
+
+TcpListener::~TcpListener()
+{
+  mWatcher.reset();
+  close(mDescriptor);
+}
+
+Expected<std::unique_ptr<TcpListener>>
+TcpListener::Listen(EventLoop& aLoop,
+                    const std::string& aAddress,
+                    std::function<void(std::shared_ptr<TcpStream>)> aAccepted)
+{
+  Expected<sockaddr_in> address = ParseAddress(aAddress);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t length = sizeof(*address);
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&*address), length) != 0 ||
+      listen(descriptor, kListenBacklog) != 0) {
+    const std::string reason = std::strerror(errno);
+    close(descriptor);
+    return Fail(ErrorCode::Unavailable,
+                "can't listen on " + aAddress + ": " + reason);
+  }
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&*address), &length);
+  return std::make_unique<TcpListener>(
+    aLoop, descriptor, FormatAddress(*address), std::move(aAccepted));
+}
+
+void
+TcpListener::Accept()
+{
+  for (int i = 0; i < kAcceptBatch; ++i) {
+    const int descriptor =
+      accept4(mDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      return;
+    }
+    mAccepted(TcpStream::Adopt(mLoop, descriptor));
+  }
+}
+
+} // namespace papayaway
--- /dev/null
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <base/Millis.h>
+
+namespace papayaway::sidecar {
+
+/** The metrics of a sidecar; docs/metrics.md lists them. */
+class SidecarMetrics
+{
+public:
+  SidecarMetrics();
+  SidecarMetrics(const SidecarMetrics&) = delete;
+  SidecarMetrics& operator=(const SidecarMetrics&) = delete;
+
+  /** @return all metrics in the Prometheus text format. */
+  [[nodiscard]] std::string Text() const;
+
+  /** Counts a request of a caller and how long it took. */
+  void OnRequest(const std::string& aRoute,
+                 const std::string& aOutcome,
+                 Millis aTime);
+
+  /** Counts a request that was not served, by reason. */
+  void OnRefused(const std::string& aReason);
+
+  /** Counts a run at the local target. */
+  void OnRun(const std::string& aOutcome, Millis aTime);
+
+  void OnStoreCall(const std::string& aCall, const std::string& aOutcome);
+
+private:
+  prometheus::Registry mRegistry;
+  prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Histogram>& mRequestTimes;
+  prometheus::Family<prometheus::Counter>& mRefused;
+  prometheus::Family<prometheus::Counter>& mRuns;
+  prometheus::Family<prometheus::Counter>& mStoreCalls;
+
+public:
+  prometheus::Histogram& mRunTimes;
+  prometheus::Counter& mRepeats;
+  prometheus::Counter& mRepeatsDenied;
+  prometheus::Counter& mBadInput;
+  prometheus::Counter& mLogDropped;
+  prometheus::Counter& mTargetConnections;
+  prometheus::Gauge& mRunning;
+  prometheus::Gauge& mWaiting;
+  prometheus::Gauge& mCallers;
+  prometheus::Gauge& mLinks;
+  prometheus::Gauge& mStateVersion;
+  prometheus::Gauge& mStateAge;
+  prometheus::Gauge& mLoopLag;
+};
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include <base/Millis.h>
+#include <base/Random.h>
+#include <gateway/NodeRecord.h>
+#include <gateway/Rollout.h>
+#include <net/EventLoop.h>
+#include <sidecar/EventLog.h>
+#include <sidecar/PlatformPort.h>
+#include <sidecar/RowStore.h>
+#include <sidecar/SidecarMetrics.h>
+
+namespace papayaway::sidecar {
+
+struct StoreSyncHandlers
+{
+  /** A row of the operator, new or changed. */
+  std::function<void(const Row&)> mOrder;
+  /** The record of another node. */
+  std::function<void(const gateway::NodeRecord&)> mRecord;
+  std::function<void(const gateway::RolloutProgress&)> mProgress;
+  /** @return the record of this node as it is now. */
+  std::function<gateway::NodeRecord()> mOwnRecord;
+  /** The store has a record of this node from a later lifetime. */
+  std::function<void(const gateway::NodeRecord&)> mOwnSuperseded;
+};
+
+struct StoreSyncOptions
+{
+  std::string mNode;
+  /** How long the store is asked to wait for a change. A connection that
+   *  went silent is noticed after this. */
+  Millis mFollowWait{ 4000 };
+  /** Changes within this time after a change are read together. */
+  Millis mBatch{ 350 };
+  /** The nodes' table is read again this often; changes also come from the
+   *  nodes themselves. */
+  Millis mRepairPeriod{ 8000 };
+  /** Between attempts while the store does not answer. */
+  Millis mRetryLeast{ 250 };
+  Millis mRetryMost{ 1000 };
+};
+
+/** Keeps this node and the platform's store in step. */
+class StoreSync
+{
+public:
+  StoreSync(EventLoop& aLoop,
+            StoreSyncOptions aOptions,
+            RowStore& aStore,
+            const OperatorNames& aNames,
+            StoreSyncHandlers aHandlers,
+            EventLog& aLog,
+            SidecarMetrics& aMetrics,
+            Random& aRandom);
+  StoreSync(const StoreSync&) = delete;
+  StoreSync& operator=(const StoreSync&) = delete;
+  ~StoreSync();
+
+  void Start();
+
+  /** The record of this node has changed and is to be written. */
+  void Publish();
+
+  /** Writes the next step of a rollout and the operator's status, if no other
+   *  node has written one since. */
+  void WriteProgress(const gateway::RolloutProgress& aProgress,
+                     const std::string& aStatus);
+
+  /** Removes the record of a node that has gone for good. */
+  void RemoveRecord(const std::string& aNode);
+
+  /** @return whether the operator's rows and the nodes were read once. */
+  [[nodiscard]] bool Loaded() const { return mOrdersRead && mNodesRead; }
+
+  /** @return the store's clock as far as known, or 0. */
+  [[nodiscard]] Millis StoreClock() const;
+
+private:
+  using Result = tl::expected<RowList, StoreError>;
+
+  void ReadOrders();
+  void FollowOrders();
+  void ReadNodes();
+  void WriteRecord();
+  void TakeOrders(const RowList& aList);
+  void TakeNodes(const RowList& aList);
+  void OnAnswer(const char* aCall, const Result& aResult);
+  [[nodiscard]] Millis RetryPause();
+
+  StoreSyncOptions mOptions;
+  RowStore& mStore;
+  OperatorNames mNames;
+  StoreSyncHandlers mHandlers;
+  EventLog& mLog;
+  SidecarMetrics& mMetrics;
+  Random& mRandom;
+  Timer mOrdersTimer;
+  Timer mNodesTimer;
+  Timer mRecordTimer;
+  bool mOrdersRead = false;
+  bool mNodesRead = false;
+  bool mAvailable = true;
+  std::uint64_t mOrdersVersion = 0;
+  /** The highest version seen of each operator's row. */
+  std::map<std::string, std::uint64_t> mOrderVersions;
+  /** The versions of rows of the nodes' table. */
+  std::map<std::string, std::uint64_t> mRowVersions;
+  /** The versions of the operator's status rows. */
+  bool mWriting = false;
+  bool mRecordChanged = false;
+  int mFailures = 0;
+  Millis mClock;
+  Millis mClockAt;
+};
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -0,0 +1,499 @@
+#include <sidecar/Dispatcher.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <string_view>
+
+#include <http/HttpText.h>
+
+namespace papayaway::sidecar {
+
+using gateway::RouteRule;
+using gateway::TargetCandidate;
+using Weight = EventLog::Weight;
+
+namespace {
+
+/** Bounds the memory of requests in flight on a host of 260 MB. */
+constexpr std::size_t kMaxActive = 4000;
+/** A request that did not run is offered to this many nodes. */
+constexpr int kMaxRefusals = 4;
+/** Offers stop after this part of the objective: until then a caller that is
+ *  refused has lost little of its time. */
+constexpr double kOfferPart = 0.125;
+/** A repeat needs this many mean run times before the deadline. */
+constexpr double kRepeatRuns = 1.2;
+/** The target's own end at the deadline has this much time to arrive. */
+constexpr Millis kAnswerGrace{ 80 };
+/** Retry-After: the least, so that a caller does not come back in vain... */
+constexpr Millis kLeastPause{ 100 };
+/** ...and the most, as a part of what the caller has left. Callers follow it
+ *  up to a third. */
+constexpr double kMostPausePart = 0.3;
+/** Returns are spread over this part of the pause on either side. */
+constexpr double kPauseSpread = 0.35;
+/** While this node knows no desired state or no target. */
+constexpr Millis kUnknownPause{ 300 };
+
+std::optional<Millis>
+TimeOf(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return Millis{ static_cast<double>(value) };
+}
+
+std::string
+RetryAfterText(Millis aPause)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", aPause.mCount / 1000);
+  return text.data();
+}
+
+CallerResponse
+OwnResponse(int aStatus, const char* aReason)
+{
+  CallerResponse response{ .mStatus = aStatus,
+                           .mBody = std::string(aReason) + "\n" };
+  response.mHeaders.Add("Content-Type", "text/plain");
+  return response;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(EventLoop& aLoop,
+                       DispatcherOptions aOptions,
+                       DispatcherParts aParts)
+  : mOptions(std::move(aOptions))
+  , mParts(std::move(aParts))
+  , mBudget(mOptions.mRepeats)
+  , mTimer(aLoop, [this] { OnTimer(); })
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void
+Dispatcher::SetState(std::shared_ptr<gateway::RoutingTable> aTable)
+{
+  mTable = std::move(aTable);
+}
+
+void
+Dispatcher::Refuse(CallerExchange& aExchange,
+                   const std::string& aRequestId,
+                   int aStatus,
+                   const char* aReason,
+                   Millis aRetryAfter)
+{
+  mParts.mMetrics.OnRefused(aReason);
+  if (mParts.mLog.Wants("refused", Weight::Failure)) {
+    mParts.mLog.Write(
+      "calls",
+      "refused",
+      { { "request", aRequestId },
+        { "status", aStatus },
+        { "reason", aReason },
+        { "state_version",
+          mTable ? mTable->State().mVersion : std::uint64_t{ 0 } } });
+  }
+  CallerResponse response = OwnResponse(aStatus, aReason);
+  if (aRetryAfter.mCount > 0) {
+    response.mHeaders.Add("Retry-After", RetryAfterText(aRetryAfter));
+  }
+  aExchange.Respond(std::move(response));
+}
+
+void
+Dispatcher::OnRequest(const std::shared_ptr<CallerExchange>& aExchange)
+{
+  const HttpMessage& request = aExchange->Request();
+  const HeaderNames& names = mParts.mPort.Headers();
+  std::string requestId(request.mHeaders.Value(names.mRequestId));
+  if (!mTable) {
+    Refuse(*aExchange, requestId, 503, "no_desired_state", kUnknownPause);
+    return;
+  }
+  const std::string_view path =
+    std::string_view(request.mTarget).substr(0, request.mTarget.find('?'));
+  gateway::ActiveRule* const rule =
+    mTable->Find(request.mHeaders.Value("Host"), path);
+  if (rule == nullptr) {
+    Refuse(*aExchange, requestId, 404, "no_route", {});
+    return;
+  }
+  if (requestId.empty()) {
+    Refuse(*aExchange, requestId, 400, "no_request_id", {});
+    return;
+  }
+  if (mActive.size() >= kMaxActive) {
+    Refuse(*aExchange, requestId, 503, "too_many_requests", kUnknownPause);
+    return;
+  }
+  const Millis now = SteadyNow();
+  const std::size_t part = rule->mTurns.Next();
+  const std::string& service = rule->mRule.mDestinations.at(part).mService;
+  const Millis patience = TimeOf(request.mHeaders.Value(names.mTimeLeft))
+                            .value_or(rule->mRule.mTimeout);
+  const std::uint64_t id = mNextId++;
+  ActiveRequest& active = mActive[id];
+  active =
+    ActiveRequest{ .mExchange = aExchange,
+                   .mTable = mTable,
+                   .mRule = &rule->mRule,
+                   .mService = service,
+                   .mVersion = mParts.mDrawVersion(service),
+                   .mRequestId = std::move(requestId),
+                   .mHeaders = EndToEndHeaders(request.mHeaders),
+                   .mArrived = now,
+                   .mDeadline = now + std::min(patience, rule->mRule.mTimeout),
+                   .mPatience = patience };
+  active.mHeaders.Set(names.mCallerService, mOptions.mService);
+  active.mHeaders.Remove(names.mTargetId);
+  active.mHeaders.Remove(names.mTimeLeft);
+  mDeadlines.emplace(active.mDeadline, id);
+  ArmTimer();
+  mBudget.OnRequest(service, now);
+  aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
+  Dispatch(id);
+}
+
+void
+Dispatcher::Dispatch(std::uint64_t aId)
+{
+  ActiveRequest& active = mActive.at(aId);
+  const Millis now = SteadyNow();
+  const std::vector<TargetCandidate> candidates =
+    mParts.mTargets.Candidates({ .mService = active.mService,
+                                 .mRule = active.mVersion.mRule,
+                                 .mVersion = active.mVersion.mVersion,
+                                 .mExcluded = active.mExcluded });
+  const auto choice =
+    gateway::ChooseTarget(candidates, mOptions.mCosts, mParts.mRandom);
+  if (!choice) {
+    if (active.mVersion.mRule == VersionRule::Only) {
+      // No target of the drawn version has room: the others may run it.
+      active.mVersion.mRule = VersionRule::AllBut;
+      Dispatch(aId);
+      return;
+    }
+    if (active.mReached > 0 || active.mRefusals > 0) {
+      AnswerLast(aId);
+    } else {
+      AnswerRefused(aId, "no_target", kUnknownPause);
+    }
+    return;
+  }
+  if (now + choice->mWait > active.mDeadline) {
+    AnswerRefused(aId, "no_slot_before_deadline", choice->mWait);
+    return;
+  }
+  const std::string node(candidates[choice->mIndex].mNode);
+  Send(aId, active, node);
+}
+
+void
+Dispatcher::Send(std::uint64_t aId,
+                 ActiveRequest& aActive,
+                 const std::string& aNode)
+{
+  const Millis now = SteadyNow();
+  const HttpMessage& request = aActive.mExchange->Request();
+  CallMessage call{ .mId = aId,
+                    .mRequestId = aActive.mRequestId,
+                    .mService = aActive.mService,
+                    .mVersionRule = aActive.mVersion.mRule,
+                    .mVersion = aActive.mVersion.mVersion,
+                    .mRoute = aActive.mRule->mName,
+                    .mMethod = request.mMethod,
+                    .mTarget = request.mTarget,
+                    .mHeaders = aActive.mHeaders,
+                    .mBody = request.mBody,
+                    .mTimeLeft = aActive.mDeadline - now,
+                    .mObjectiveLeft =
+                      aActive.mArrived + aActive.mRule->mObjective - now,
+                    .mPriority = aActive.mRule->mPriority,
+                    .mIdempotent = aActive.mRule->mIdempotent };
+  aActive.mNode = aNode;
+  aActive.mLink = 0;
+  aActive.mAtGate = aNode == mOptions.mNode;
+  if (aActive.mAtGate) {
+    const auto served =
+      mParts.mGate.Serve(std::move(call), [this, aId](ReplyMessage aReply) {
+        HandleReply(aId, std::move(aReply));
+      });
+    // The reply may have come already and led to another attempt.
+    const auto found = mActive.find(aId);
+    if (found != mActive.end() && found->second.mAtGate &&
+        found->second.mServed < served) {
+      found->second.mServed = served;
+    }
+    return;
+  }
+  mParts.mTargets.OnSent(aNode);
+  aActive.mLink = mParts.mMesh.Send(aNode, call);
+  if (aActive.mLink == 0) {
+    HandleReply(aId, { .mOutcome = CallOutcome::NotRun, .mReason = "no_link" });
+  }
+}
+
+void
+Dispatcher::OnReply(const std::string& aNode, ReplyMessage aReply)
+{
+  mParts.mTargets.OnLoad(aNode, aReply.mLoad);
+  const auto found = mActive.find(aReply.mId);
+  if (found == mActive.end() || found->second.mNode != aNode) {
+    return;
+  }
+  HandleReply(aReply.mId, std::move(aReply));
+}
+
+bool
+Dispatcher::MayRepeat(const ActiveRequest& aActive, const ReplyMessage& aReply)
+{
+  const bool notRun = aReply.mOutcome == CallOutcome::NotRun;
+  if (!notRun && !aActive.mRule->mIdempotent) {
+    return false;
+  }
+  if (aActive.mReached >= aActive.mRule->mMaxAttempts) {
+    return false;
+  }
+  const Millis left = aActive.mDeadline - SteadyNow();
+  if (left < aReply.mLoad.mMeanRun * kRepeatRuns) {
+    return false;
+  }
+  const bool allowed = mBudget.TryRepeat(aActive.mService, SteadyNow());
+  (allowed ? mParts.mMetrics.mRepeats : mParts.mMetrics.mRepeatsDenied)
+    .Increment();
+  if (mParts.mLog.Wants("repeat", Weight::Failure)) {
+    mParts.mLog.Write("calls",
+                      "repeat",
+                      { { "request", aActive.mRequestId },
+                        { "after", aReply.mReason },
+                        { "status", aReply.mStatus },
+                        { "node", aActive.mNode },
+                        { "time_left_ms", left.Whole() },
+                        { "allowed", allowed } });
+  }
+  return allowed;
+}
+
+void
+Dispatcher::HandleReply(std::uint64_t aId, ReplyMessage aReply)
+{
+  const auto found = mActive.find(aId);
+  if (found == mActive.end()) {
+    return;
+  }
+  ActiveRequest& active = found->second;
+  active.mReached += aReply.mReachedTarget ? 1 : 0;
+  const bool notRun = aReply.mOutcome == CallOutcome::NotRun;
+  const bool good =
+    aReply.mOutcome == CallOutcome::Answered && aReply.mStatus < 500;
+  active.mLast = std::move(aReply);
+  if (good) {
+    AnswerLast(aId);
+    return;
+  }
+  active.mMayHaveRun = active.mMayHaveRun || !notRun;
+  if (active.mLast.mOutcome == CallOutcome::Answered) {
+    active.mFailed = CallerResponse{ .mStatus = active.mLast.mStatus,
+                                     .mHeaders = active.mLast.mHeaders,
+                                     .mBody = active.mLast.mBody };
+  }
+  active.mExcluded.push_back(active.mNode);
+  if (notRun && !active.mLast.mReachedTarget) {
+    // It reached no target, so this is an offer rather than a repeat.
+    const Millis now = SteadyNow();
+    const bool early =
+      now < active.mArrived + active.mRule->mObjective * kOfferPart;
+    if (++active.mRefusals < kMaxRefusals && early) {
+      Dispatch(aId);
+      return;
+    }
+  } else if (MayRepeat(active, active.mLast)) {
+    Dispatch(aId);
+    return;
+  }
+  AnswerLast(aId);
+}
+
+void
+Dispatcher::AnswerLast(std::uint64_t aId)
+{
+  ActiveRequest& active = mActive.at(aId);
+  ReplyMessage& last = active.mLast;
+  switch (last.mOutcome) {
+    case CallOutcome::Answered:
+      Answer(aId,
+             { .mStatus = last.mStatus,
+               .mHeaders = std::move(last.mHeaders),
+               .mBody = std::move(last.mBody) },
+             "target");
+      return;
+    case CallOutcome::NotRun:
+      AnswerRefused(aId, "no_room", last.mRetryAfter);
+      return;
+    case CallOutcome::Unknown:
+      break;
+  }
+  if (active.mFailed) {
+    Answer(aId, std::move(*active.mFailed), "target");
+    return;
+  }
+  const bool late = SteadyNow() >= active.mDeadline;
+  Answer(aId,
+         OwnResponse(late ? 504 : 502, last.mReason.c_str()),
+         "outcome_unknown");
+}
+
+void
+Dispatcher::AnswerRefused(std::uint64_t aId, const char* aReason, Millis aWait)
+{
+  const ActiveRequest& active = mActive.at(aId);
+  // An earlier attempt ran or may have run although the last one did not.
+  if (active.mFailed) {
+    Answer(aId, std::move(*mActive.at(aId).mFailed), "target");
+    return;
+  }
+  if (active.mMayHaveRun) {
+    Answer(aId, OwnResponse(502, aReason), "outcome_unknown");
+    return;
+  }
+  const Millis left = active.mArrived + active.mPatience - SteadyNow();
+  const Millis most = left * kMostPausePart;
+  const double spread =
+    1 + kPauseSpread * (2 * UniformFraction(mParts.mRandom) - 1);
+  const Millis pause = std::max(
+    std::min(std::max(aWait, kLeastPause) * spread, most), Millis{ 1 });
+  CallerResponse response = OwnResponse(503, aReason);
+  response.mHeaders.Add("Retry-After", RetryAfterText(pause));
+  mParts.mMetrics.OnRefused(aReason);
+  Answer(aId, std::move(response), aReason);
+}
+
+void
+Dispatcher::Answer(std::uint64_t aId,
+                   CallerResponse aResponse,
+                   const char* aWhy)
+{
+  const auto found = mActive.find(aId);
+  const ActiveRequest active = std::move(found->second);
+  mActive.erase(found);
+  mDeadlines.erase({ active.mDeadline, aId });
+  const Millis time = SteadyNow() - active.mArrived;
+  const int status = aResponse.mStatus;
+  mParts.mMetrics.OnRequest(
+    active.mRule->mName, std::to_string(status / 100) + "xx", time);
+  if (mParts.mLog.Wants("answered",
+                        status < 400 ? Weight::Success : Weight::Failure)) {
+    mParts.mLog.Write(
+      "calls",
+      "answered",
+      { { "request", active.mRequestId },
+        { "status", status },
+        { "by", aWhy },
+        { "last", active.mLast.mReason },
+        { "route", active.mRule->mName },
+        { "service", active.mService },
+        { "target_node", active.mNode },
+        { "targets_reached", active.mReached },
+        { "refusals", active.mRefusals },
+        { "time_ms", time.Whole() },
+        { "deadline_left_ms", (active.mDeadline - SteadyNow()).Whole() },
+        { "state_version", active.mTable->State().mVersion } });
+  }
+  active.mExchange->Respond(std::move(aResponse));
+}
+
+void
+Dispatcher::CancelAttempt(const ActiveRequest& aActive)
+{
+  if (aActive.mAtGate) {
+    mParts.mGate.Cancel(aActive.mServed);
+  }
+}
+
+void
+Dispatcher::OnAbandoned(std::uint64_t aId)
+{
+  const auto found = mActive.find(aId);
+  if (found == mActive.end()) {
+    return;
+  }
+  const ActiveRequest active = std::move(found->second);
+  mActive.erase(found);
+  mDeadlines.erase({ active.mDeadline, aId });
+  CancelAttempt(active);
+  if (active.mLink != 0) {
+    mParts.mMesh.Reply(active.mLink, CancelMessage{ .mId = aId });
+  }
+  if (mParts.mLog.Wants("abandoned", Weight::Failure)) {
+    mParts.mLog.Write(
+      "calls",
+      "abandoned",
+      { { "request", active.mRequestId },
+        { "target_node", active.mNode },
+        { "time_ms", (SteadyNow() - active.mArrived).Whole() } });
+  }
+  mParts.mMetrics.OnRequest(
+    active.mRule->mName, "abandoned", SteadyNow() - active.mArrived);
+}
+
+void
+Dispatcher::OnLinkLost(LinkId aLink)
+{
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, active] : mActive) {
+    if (active.mLink == aLink && !active.mAtGate) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : lost) {
+    HandleReply(id,
+                { .mOutcome = CallOutcome::Unknown,
+                  .mReason = "link_lost",
+                  .mReachedTarget = true });
+  }
+}
+
+void
+Dispatcher::ArmTimer()
+{
+  if (!mDeadlines.empty()) {
+    const Millis left = mDeadlines.begin()->first + kAnswerGrace - SteadyNow();
+    mTimer.StartOnce(std::max(left, Millis{ 1 }));
+  }
+}
+
+void
+Dispatcher::OnTimer()
+{
+  const Millis now = SteadyNow();
+  while (!mDeadlines.empty() &&
+         mDeadlines.begin()->first + kAnswerGrace <= now) {
+    const std::uint64_t id = mDeadlines.begin()->second;
+    mDeadlines.erase(mDeadlines.begin());
+    const auto found = mActive.find(id);
+    if (found == mActive.end()) {
+      continue;
+    }
+    const ActiveRequest& active = found->second;
+    CancelAttempt(active);
+    if (active.mLink != 0) {
+      mParts.mMesh.Reply(active.mLink, CancelMessage{ .mId = id });
+    }
+    Answer(id, OwnResponse(504, "deadline"), "deadline");
+  }
+  ArmTimer();
+}
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -0,0 +1,275 @@
+#include <sidecar/PeerMesh.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaway::sidecar {
+
+namespace {
+
+/** Only nodes reach the ports between nodes; the word keeps other programs
+ *  from being taken for one by mistake. */
+constexpr const char* kAuthorization = "papayaway-sidecar";
+/** A pause of this process that is longer makes the silence of links
+ *  meaningless. */
+constexpr Millis kOwnPause{ 800 };
+constexpr Millis kHandshakeTimeout{ 1500 };
+
+} // namespace
+
+PeerMesh::PeerMesh(EventLoop& aLoop,
+                   PeerMeshOptions aOptions,
+                   PeerMeshHandlers aHandlers,
+                   EventLog& aLog,
+                   Random& aRandom)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mHandlers(std::move(aHandlers))
+  , mLog(aLog)
+  , mRandom(aRandom)
+  , mLastTick(SteadyNow())
+{
+}
+
+PeerMesh::~PeerMesh() = default;
+
+Expected<void>
+PeerMesh::Listen()
+{
+  auto listener = PeerListener::Listen(
+    mLoop,
+    mOptions.mAddress,
+    { .mAuthorize =
+        [](const std::string& aValue) { return aValue == kAuthorization; },
+      .mAccepted =
+        [this](std::unique_ptr<PeerSocket> aSocket) {
+          const LinkId id = mNextId++;
+          Link& link = mLinks[id];
+          link.mSocket = std::move(aSocket);
+          link.mOpen = true;
+          Attach(id, link);
+          link.mSocket->Send(
+            EncodeMessage(RecordMessage{ mHandlers.mOwnRecord() }));
+        } });
+  if (!listener) {
+    return tl::unexpected(listener.error());
+  }
+  mListener = std::move(*listener);
+  return {};
+}
+
+void
+PeerMesh::Attach(LinkId aId, Link& aLink)
+{
+  aLink.mHeard = SteadyNow();
+  aLink.mSocket->SetHandlers(
+    { .mOpened =
+        [this, aId] {
+          Link& link = mLinks.at(aId);
+          link.mOpen = true;
+          link.mHeard = SteadyNow();
+          link.mSocket->Send(
+            EncodeMessage(RecordMessage{ mHandlers.mOwnRecord() }));
+        },
+      .mMessage = [this,
+                   aId](const std::string& aBytes) { OnBytes(aId, aBytes); },
+      .mClosed = [this, aId](const std::string&) { Drop(aId, "closed"); } });
+}
+
+void
+PeerMesh::OnBytes(LinkId aId, const std::string& aBytes)
+{
+  const auto found = mLinks.find(aId);
+  if (found == mLinks.end()) {
+    return;
+  }
+  Link& link = found->second;
+  link.mHeard = SteadyNow();
+  Expected<PeerMessage> message = DecodeMessage(aBytes);
+  if (!message) {
+    mLog.Change(
+      "peers",
+      "bad_message",
+      { { "peer", link.mNode }, { "reason", message.error().mMessage } });
+    Drop(aId, "bad message");
+    return;
+  }
+  const auto* const record = std::get_if<RecordMessage>(&*message);
+  if (link.mNode.empty() || mByNode.find(link.mNode) == mByNode.end() ||
+      std::find(mByNode[link.mNode].begin(), mByNode[link.mNode].end(), aId) ==
+        mByNode[link.mNode].end()) {
+    if (record == nullptr) {
+      return;
+    }
+    // The first message says who is at the other end.
+    link.mNode = record->mRecord.mNode;
+    mByNode[link.mNode].push_back(aId);
+    mLog.Change("peers", "linked", { { "peer", link.mNode } });
+    const auto wanted = mWanted.find(link.mNode);
+    if (wanted != mWanted.end()) {
+      wanted->second.mPause = mOptions.mRetryLeast;
+    }
+  }
+  const std::string node = link.mNode;
+  mHandlers.mMessage(aId, node, std::move(*message));
+}
+
+void
+PeerMesh::Drop(LinkId aId, const char* aReason)
+{
+  const auto found = mLinks.find(aId);
+  if (found == mLinks.end()) {
+    return;
+  }
+  Link link = std::move(found->second);
+  mLinks.erase(found);
+  bool wasKnown = false;
+  const auto links = mByNode.find(link.mNode);
+  if (links != mByNode.end()) {
+    wasKnown = std::erase(links->second, aId) > 0;
+    if (links->second.empty()) {
+      mByNode.erase(links);
+    }
+  }
+  for (auto& [node, wanted] : mWanted) {
+    if (wanted.mOpening == aId) {
+      wanted.mOpening = 0;
+    }
+  }
+  if (wasKnown) {
+    mLog.Change(
+      "peers", "link_lost", { { "peer", link.mNode }, { "reason", aReason } });
+    mHandlers.mLost(aId, link.mNode);
+  }
+}
+
+void
+PeerMesh::Want(const std::string& aNode, const std::string& aAddress)
+{
+  if (aNode == mOptions.mNode) {
+    return;
+  }
+  Wanted& wanted = mWanted[aNode];
+  if (wanted.mAddress == aAddress) {
+    return;
+  }
+  const bool mayOpenFirst = mOptions.mNode < aNode;
+  wanted = Wanted{ .mAddress = aAddress,
+                   .mNextTry = mayOpenFirst ? Millis{}
+                                            : SteadyNow() + mOptions.mOpenLater,
+                   .mPause = mOptions.mRetryLeast };
+}
+
+void
+PeerMesh::Unwant(const std::string& aNode)
+{
+  mWanted.erase(aNode);
+}
+
+LinkId
+PeerMesh::Best(const std::string& aNode) const
+{
+  const auto links = mByNode.find(aNode);
+  if (links == mByNode.end()) {
+    return 0;
+  }
+  LinkId best = 0;
+  Millis heard;
+  for (const LinkId id : links->second) {
+    const Link& link = mLinks.at(id);
+    if (best == 0 || link.mHeard > heard + mOptions.mSuspectAfter) {
+      best = id;
+      heard = link.mHeard;
+    }
+  }
+  return best;
+}
+
+LinkId
+PeerMesh::Send(const std::string& aNode, const PeerMessage& aMessage)
+{
+  const LinkId id = Best(aNode);
+  if (id != 0) {
+    mLinks.at(id).mSocket->Send(EncodeMessage(aMessage));
+  }
+  return id;
+}
+
+void
+PeerMesh::Reply(LinkId aLink, const PeerMessage& aMessage)
+{
+  const auto found = mLinks.find(aLink);
+  if (found != mLinks.end()) {
+    found->second.mSocket->Send(EncodeMessage(aMessage));
+  }
+}
+
+void
+PeerMesh::Broadcast(const PeerMessage& aMessage)
+{
+  const std::string bytes = EncodeMessage(aMessage);
+  for (const auto& entry : mByNode) {
+    mLinks.at(Best(entry.first)).mSocket->Send(bytes);
+  }
+}
+
+bool
+PeerMesh::Reachable(const std::string& aNode) const
+{
+  const LinkId id = Best(aNode);
+  return id != 0 && SteadyNow() - mLinks.at(id).mHeard < mOptions.mSuspectAfter;
+}
+
+std::vector<std::string>
+PeerMesh::Linked() const
+{
+  std::vector<std::string> nodes;
+  for (const auto& entry : mByNode) {
+    nodes.push_back(entry.first);
+  }
+  return nodes;
+}
+
+void
+PeerMesh::Open(const std::string& aNode, Wanted& aWanted, Millis aNow)
+{
+  const LinkId id = mNextId++;
+  Link& link = mLinks[id];
+  link.mNode = aNode;
+  link.mSocket =
+    PeerSocket::Connect(mLoop,
+                        aWanted.mAddress,
+                        kAuthorization,
+                        {},
+                        { .mHandshakeTimeout = kHandshakeTimeout });
+  Attach(id, link);
+  aWanted.mOpening = id;
+  // Full jitter: the nodes that lost one peer must not come back together.
+  aWanted.mNextTry = aNow + aWanted.mPause * (0.5 + UniformFraction(mRandom));
+  aWanted.mPause = std::min(aWanted.mPause * 2, mOptions.mRetryMost);
+}
+
+void
+PeerMesh::Tick(Millis aNow)
+{
+  const bool paused = aNow - mLastTick > kOwnPause;
+  mLastTick = aNow;
+  std::vector<LinkId> silent;
+  for (auto& [id, link] : mLinks) {
+    if (paused) {
+      link.mHeard = aNow;
+    } else if (aNow - link.mHeard > mOptions.mCloseAfter) {
+      silent.push_back(id);
+    }
+  }
+  for (const LinkId id : silent) {
+    Drop(id, "silent");
+  }
+  for (auto& [node, wanted] : mWanted) {
+    if (Best(node) == 0 && wanted.mOpening == 0 && wanted.mNextTry <= aNow) {
+      Open(node, wanted, aNow);
+    }
+  }
+}
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -0,0 +1,590 @@
+#include <sidecar/Sidecar.h>
+
+#include <algorithm>
+
+#include "SidecarImpl.h"
+
+namespace papayaway::sidecar {
+
+using gateway::NodeRecord;
+
+namespace {
+
+constexpr Millis kTickPeriod{ 50 };
+/** How often the load is told to nodes of the own region... */
+constexpr Millis kLoadPeriod{ 250 };
+/** ...and to all nodes, also unchanged, which shows that the link works. */
+constexpr Millis kFarLoadPeriod{ 1000 };
+constexpr Millis kRolloutPeriod{ 200 };
+/** A node that another one is ahead of for this long asks it for the desired
+ *  state; usually the store is faster. */
+constexpr Millis kStateDelay{ 600 };
+/** After the signal to stop, callers still come for this long: they are sent
+ *  elsewhere after two readiness questions, a second apart. */
+constexpr Millis kStopAccepting{ 3000 };
+/** Requests of other nodes that were on their way are still run. */
+constexpr Millis kStopServing{ 400 };
+/** What is not finished this long before the kill is given up. */
+constexpr Millis kStopReserve{ 400 };
+
+} // namespace
+
+Sidecar::Impl::Impl(EventLoop& aLoop,
+                    const SidecarSettings& aSettings,
+                    const PlatformPort& aPort,
+                    RowStore& aStore)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mPort(aPort)
+  , mLog(aLoop,
+         { .mNode = aSettings.mName, .mDataCentre = aSettings.mDataCentre })
+  , mMesh(
+      aLoop,
+      { .mNode = aSettings.mName, .mAddress = aSettings.mPeerAddress },
+      { .mMessage =
+          [this](LinkId aLink, const std::string& aNode, PeerMessage aMessage) {
+            OnMessage(aLink, aNode, std::move(aMessage));
+          },
+        .mLost = [this](LinkId aLink,
+                        const std::string&) { OnLinkLost(aLink); },
+        .mOwnRecord = [this] { return OwnRecord(); } },
+      mLog,
+      mRandom)
+  , mTargets(aSettings.mDataCentre,
+             aSettings.mRegion,
+             [this](const std::string& aNode) {
+               return aNode == mSettings.mName || mMesh.Reachable(aNode);
+             })
+  , mRollouts(
+      { .mTargets = mTargets,
+        .mLog = mLog,
+        .mStoreClock = [this] { return mSync.StoreClock(); },
+        .mRank =
+          [this](const std::string& aService) { return RankFor(aService); },
+        .mWrite =
+          [this](const gateway::RolloutProgress& aProgress) {
+            mSync.WriteProgress(aProgress, mPort.EncodeRollout(aProgress));
+          },
+        .mBroadcast =
+          [this](const PeerMessage& aMessage) { mMesh.Broadcast(aMessage); } })
+  , mGate(aLoop,
+          { .mNode = aSettings.mName,
+            .mAddress = aSettings.mTargetAddress,
+            .mService = aSettings.mService },
+          aPort,
+          { .mStateChanged = [this] { PublishRecord(); },
+            .mRan =
+              [this](const RunReport& aRun) {
+                mRollouts.OnRun(mSettings.mName, mLifetime, aRun);
+              },
+            .mVersionTakesRequests =
+              [this](const gateway::TargetInfo& aTarget) {
+                return mRollouts.TakesRequests(aTarget);
+              } },
+          mLog,
+          mMetrics)
+  , mDispatcher(aLoop,
+                { .mNode = aSettings.mName,
+                  .mService = aSettings.mService,
+                  .mRepeats = { .mShare = aSettings.mRepeatShare / 2 } },
+                { .mPort = aPort,
+                  .mMesh = mMesh,
+                  .mTargets = mTargets,
+                  .mGate = mGate,
+                  .mLog = mLog,
+                  .mMetrics = mMetrics,
+                  .mRandom = mRandom,
+                  .mDrawVersion =
+                    [this](const std::string& aService) {
+                      return mRollouts.Draw(aService);
+                    } })
+  , mSync(aLoop,
+          { .mNode = aSettings.mName },
+          aStore,
+          aPort.Operator(),
+          { .mOrder = [this](const Row& aRow) { OnOrder(aRow); },
+            .mRecord = [this](const NodeRecord& aRecord) { OnRecord(aRecord); },
+            .mProgress =
+              [this](const gateway::RolloutProgress& aProgress) {
+                mRollouts.OnWritten(aProgress);
+              },
+            .mOwnRecord = [this] { return OwnRecord(); },
+            .mOwnSuperseded =
+              [this](const NodeRecord& aRecord) {
+                OnOwnRecordElsewhere(aRecord);
+              } },
+          mLog,
+          mMetrics,
+          mRandom)
+  , mTick(aLoop, [this] { Tick(); })
+  , mLastTick(SteadyNow())
+  , mLifetime(static_cast<std::uint64_t>(WallNow().Whole()))
+{
+}
+
+Expected<void>
+Sidecar::Impl::Start()
+{
+  const Expected<void> listening = Listen();
+  if (!listening) {
+    return listening;
+  }
+  mLog.Change("node",
+              "started",
+              { { "version", PAPAYAWAY_VERSION },
+                { "region", mSettings.mRegion },
+                { "service", mSettings.mService },
+                { "lifetime", mLifetime } });
+  OnRecord(OwnRecord());
+  mSync.Start();
+  mSync.Publish();
+  mTick.StartRepeating(kTickPeriod);
+  return {};
+}
+
+Expected<void>
+Sidecar::Impl::Listen()
+{
+  const Expected<void> mesh = mMesh.Listen();
+  if (!mesh) {
+    return mesh;
+  }
+  auto callers =
+    CallerServer::Listen(mLoop,
+                         mSettings.mCallerAddress,
+                         {},
+                         [this](std::shared_ptr<CallerExchange> aExchange) {
+                           mDispatcher.OnRequest(aExchange);
+                         });
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  mCallers = std::move(*callers);
+  const auto listen = [this](const std::string& aAddress,
+                             std::unique_ptr<HttpServer>& aServer,
+                             HttpHandler aHandler) -> Expected<void> {
+    auto server =
+      HttpServer::Listen(mLoop, { .mAddress = aAddress }, std::move(aHandler));
+    if (!server) {
+      return tl::unexpected(server.error());
+    }
+    aServer = std::move(*server);
+    return {};
+  };
+  const HttpHandler admin = [this](std::shared_ptr<HttpExchange> aExchange) {
+    OnAdmin(aExchange);
+  };
+  const HttpHandler metrics = [this](std::shared_ptr<HttpExchange> aExchange) {
+    aExchange->Respond({ .mHeaders = { { "Content-Type", "text/plain" } },
+                         .mBody = mMetrics.Text() });
+  };
+  Expected<void> result = listen(mSettings.mAdminAddress, mAdmin, admin);
+  if (result) {
+    result = listen(mSettings.mReadinessAddress, mReadiness, admin);
+  }
+  if (result) {
+    result = listen(mSettings.mMetricsAddress, mMetricsServer, metrics);
+  }
+  return result;
+}
+
+NodeRecord
+Sidecar::Impl::OwnRecord() const
+{
+  return { .mNode = mSettings.mName,
+           .mDataCentre = mSettings.mDataCentre,
+           .mRegion = mSettings.mRegion,
+           .mPeerAddress = mSettings.mPeerAddress,
+           .mLifetime = mLifetime,
+           .mSequence = mSequence,
+           .mLeaving = mStopping,
+           .mTarget = mGate.Target() };
+}
+
+void
+Sidecar::Impl::PublishRecord()
+{
+  ++mSequence;
+  OnRecord(OwnRecord());
+  mMesh.Broadcast(RecordMessage{ OwnRecord() });
+  mSync.Publish();
+}
+
+void
+Sidecar::Impl::OnOwnRecordElsewhere(const NodeRecord& aRecord)
+{
+  // A record of an earlier process of this node, whose clock was ahead.
+  if (aRecord.mLifetime > mLifetime ||
+      (aRecord.mLifetime == mLifetime && aRecord.mSequence > mSequence)) {
+    mLifetime = aRecord.mLifetime + 1;
+    PublishRecord();
+  }
+}
+
+void
+Sidecar::Impl::OnRecord(const NodeRecord& aRecord)
+{
+  if (!mTargets.Merge(aRecord)) {
+    return;
+  }
+  if (aRecord.mNode == mSettings.mName) {
+    return;
+  }
+  if (aRecord.mLeaving) {
+    mMesh.Unwant(aRecord.mNode);
+  } else {
+    mMesh.Want(aRecord.mNode, aRecord.mPeerAddress);
+  }
+  mLog.Change(
+    "mesh",
+    "node_seen",
+    { { "peer", aRecord.mNode },
+      { "lifetime", aRecord.mLifetime },
+      { "sequence", aRecord.mSequence },
+      { "leaving", aRecord.mLeaving },
+      { "target", aRecord.mTarget ? aRecord.mTarget->mId : "" },
+      { "target_state",
+        aRecord.mTarget ? static_cast<int>(aRecord.mTarget->mState) : -1 } });
+}
+
+void
+Sidecar::Impl::OnOrder(const Row& aRow)
+{
+  const OperatorNames& names = mPort.Operator();
+  if (aRow.mKey == names.mDesiredStateKey) {
+    ApplyState(aRow.mValue, "store");
+    return;
+  }
+  if (!aRow.mKey.starts_with(names.mRolloutPrefix) || aRow.mDeleted) {
+    return;
+  }
+  Expected<gateway::RolloutOrder> order = mPort.DecodeRollout(aRow.mValue);
+  if (!order) {
+    mMetrics.mBadInput.Increment();
+    mLog.Change("store",
+                "bad_row",
+                { { "key", aRow.mKey }, { "reason", order.error().mMessage } });
+    return;
+  }
+  order->mOrderedAt = aRow.mVersion;
+  mRollouts.OnOrder(*order);
+}
+
+bool
+Sidecar::Impl::ApplyState(const std::string& aText, const char* aSource)
+{
+  const Expected<gateway::DesiredState> state = mPort.DecodeDesiredState(aText);
+  if (!state) {
+    mMetrics.mBadInput.Increment();
+    mLog.Change(
+      "state",
+      "bad_desired_state",
+      { { "source", aSource }, { "reason", state.error().mMessage } });
+    return false;
+  }
+  const std::uint64_t current = mTable ? mTable->State().mVersion : 0;
+  if (mTable && state->mVersion <= current) {
+    return false;
+  }
+  mTable = std::make_shared<gateway::RoutingTable>(*state);
+  mStateText = aText;
+  mStateSince = SteadyNow();
+  mDispatcher.SetState(mTable);
+  const gateway::RequestLimits& limits = state->mLimits;
+  mCallers->SetLimits({ .mSizes = { .mMaxHeaderBytes = limits.mMaxHeaderBytes,
+                                    .mMaxBodyBytes = limits.mMaxBodyBytes },
+                        .mHeaderTimeout = limits.mHeaderTimeout,
+                        .mIdleTimeout = limits.mIdleTimeout });
+  mMetrics.mStateVersion.Set(static_cast<double>(state->mVersion));
+  mLog.Change("state",
+              "desired_state_in_force",
+              { { "version", state->mVersion },
+                { "before", current },
+                { "source", aSource },
+                { "hosts", state->mHosts.size() },
+                { "services", state->mServices.size() } });
+  return true;
+}
+
+void
+Sidecar::Impl::OnMessage(LinkId aLink,
+                         const std::string& aNode,
+                         PeerMessage aMessage)
+{
+  if (auto* const call = std::get_if<CallMessage>(&aMessage)) {
+    OnCall(aLink, std::move(*call));
+  } else if (auto* const reply = std::get_if<ReplyMessage>(&aMessage)) {
+    mDispatcher.OnReply(aNode, std::move(*reply));
+  } else if (const auto* const cancel = std::get_if<CancelMessage>(&aMessage)) {
+    const auto found = mPeerCalls.find({ aLink, cancel->mId });
+    if (found != mPeerCalls.end()) {
+      const TargetGate::CallId id = found->second;
+      mPeerCalls.erase(found);
+      mGate.Cancel(id);
+    }
+  } else if (const auto* const load = std::get_if<LoadMessage>(&aMessage)) {
+    OnLoad(aLink, aNode, *load);
+  } else if (const auto* const record = std::get_if<RecordMessage>(&aMessage)) {
+    if (record->mRecord.mNode == mSettings.mName) {
+      OnOwnRecordElsewhere(record->mRecord);
+      return;
+    }
+    OnRecord(record->mRecord);
+    const NodeRecord* const known = mTargets.Nodes().Find(aNode);
+    if (known != nullptr && record->mRecord.mNode == aNode &&
+        known->Supersedes(record->mRecord)) {
+      // The node has started again with a clock that is behind.
+      mMesh.Reply(aLink, RecordMessage{ *known });
+    }
+  } else if (const auto* const evidence =
+               std::get_if<EvidenceMessage>(&aMessage)) {
+    mRollouts.OnEvidence(aNode, *evidence);
+  } else if (const auto* const progress =
+               std::get_if<ProgressMessage>(&aMessage)) {
+    mRollouts.OnProgress(progress->mProgress);
+  } else if (std::holds_alternative<StateQuestion>(aMessage)) {
+    if (mTable) {
+      mMesh.Reply(aLink, StateMessage{ .mText = mStateText });
+    }
+  } else if (const auto* const state = std::get_if<StateMessage>(&aMessage)) {
+    ApplyState(state->mText, "peer");
+  }
+}
+
+void
+Sidecar::Impl::OnCall(LinkId aLink, CallMessage aCall)
+{
+  const std::uint64_t callId = aCall.mId;
+  if (mStopping && SteadyNow() - mStopBegan > kStopServing) {
+    mMesh.Reply(aLink,
+                ReplyMessage{ .mId = callId,
+                              .mOutcome = CallOutcome::NotRun,
+                              .mReason = "node_stopping",
+                              .mLoad = mGate.Load() });
+    return;
+  }
+  const std::pair<LinkId, std::uint64_t> key{ aLink, callId };
+  const auto answered = std::make_shared<bool>(false);
+  const TargetGate::CallId id =
+    mGate.Serve(std::move(aCall), [this, key, answered](ReplyMessage aReply) {
+      *answered = true;
+      mPeerCalls.erase(key);
+      mMesh.Reply(key.first, std::move(aReply));
+    });
+  if (!*answered) {
+    mPeerCalls.emplace(key, id);
+  }
+}
+
+void
+Sidecar::Impl::OnLinkLost(LinkId aLink)
+{
+  std::vector<TargetGate::CallId> calls;
+  const auto first = mPeerCalls.lower_bound({ aLink, 0 });
+  auto last = first;
+  while (last != mPeerCalls.end() && last->first.first == aLink) {
+    calls.push_back(last->second);
+    ++last;
+  }
+  mPeerCalls.erase(first, last);
+  // No answer can reach the callers of these any more.
+  for (const TargetGate::CallId id : calls) {
+    mGate.Cancel(id);
+  }
+  mDispatcher.OnLinkLost(aLink);
+}
+
+void
+Sidecar::Impl::OnLoad(LinkId aLink,
+                      const std::string& aNode,
+                      const LoadMessage& aMessage)
+{
+  mTargets.OnLoad(aNode, aMessage.mLoad);
+  const std::uint64_t own = mTable ? mTable->State().mVersion : 0;
+  if (aMessage.mStateVersion <= own) {
+    return;
+  }
+  const Millis now = SteadyNow();
+  if (mBehindSince.mCount == 0) {
+    mBehindSince = now;
+  } else if (now - mBehindSince > kStateDelay) {
+    mBehindSince = {};
+    mMesh.Reply(aLink, StateQuestion{});
+  }
+}
+
+void
+Sidecar::Impl::OnAdmin(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  const AdminRoute route = mPort.MatchAdmin(aExchange->Request());
+  switch (route.mOperation) {
+    case AdminOperation::Readiness:
+      aExchange->Respond({ .mStatus = Ready() ? 200 : 503 });
+      return;
+    case AdminOperation::CheckIn:
+      OnCheckIn(*aExchange, route.mTargetId);
+      return;
+    case AdminOperation::Leave:
+      mGate.OnLeave(route.mTargetId);
+      aExchange->Respond(JsonResponse(200, "{}"));
+      return;
+    case AdminOperation::None:
+      break;
+  }
+  aExchange->Respond({ .mStatus = 404 });
+}
+
+void
+Sidecar::Impl::OnCheckIn(HttpExchange& aExchange, const std::string& aTargetId)
+{
+  const Expected<CheckIn> checkIn =
+    mPort.DecodeCheckIn(aTargetId, aExchange.Request().mBody);
+  if (checkIn) {
+    mGate.OnCheckIn(*checkIn);
+    aExchange.Respond(JsonResponse(200, "{}"));
+    return;
+  }
+  mMetrics.mBadInput.Increment();
+  if (mLog.Wants("bad_check_in", EventLog::Weight::Failure)) {
+    mLog.Write(
+      "target",
+      "bad_check_in",
+      { { "target", aTargetId }, { "reason", checkIn.error().mMessage } });
+  }
+  aExchange.Respond({ .mStatus = 400 });
+}
+
+bool
+Sidecar::Impl::Ready() const
+{
+  return !mStopping && mTable && mSync.Loaded();
+}
+
+std::size_t
+Sidecar::Impl::RankFor(const std::string& aService) const
+{
+  const auto order = [&](const std::string& aNode) {
+    return std::hash<std::string>()(aNode + "/" + aService);
+  };
+  const std::size_t own = order(mSettings.mName);
+  std::size_t rank = 0;
+  for (const std::string& node : mMesh.Linked()) {
+    rank += order(node) < own && mMesh.Reachable(node) ? 1 : 0;
+  }
+  return rank;
+}
+
+void
+Sidecar::Impl::TellLoad(Millis aNow)
+{
+  LoadMessage message{ .mLoad = mGate.Load(),
+                       .mStateVersion = mTable ? mTable->State().mVersion : 0 };
+  mTargets.OnLoad(mSettings.mName, message.mLoad);
+  const bool all = aNow - mLastFarLoad >= kFarLoadPeriod;
+  if (all) {
+    mLastFarLoad = aNow;
+    mToldLoad = message;
+    mMesh.Broadcast(message);
+    return;
+  }
+  if (mToldLoad && *mToldLoad == message) {
+    return;
+  }
+  mToldLoad = message;
+  for (const std::string& node : mMesh.Linked()) {
+    const NodeRecord* const record = mTargets.Nodes().Find(node);
+    if (record != nullptr && record->mRegion == mSettings.mRegion) {
+      mMesh.Send(node, message);
+    }
+  }
+}
+
+void
+Sidecar::Impl::Tick()
+{
+  const Millis now = SteadyNow();
+  mMetrics.mLoopLag.Set(std::max(0.0, (now - mLastTick - kTickPeriod).mCount));
+  mLastTick = now;
+  mMesh.Tick(now);
+  mTargets.OnLoad(mSettings.mName, mGate.Load());
+  if (now - mLastLoad >= kLoadPeriod) {
+    mLastLoad = now;
+    TellLoad(now);
+    const gateway::TargetLoad load = mGate.Load();
+    mMetrics.mRunning.Set(load.mRunning);
+    mMetrics.mWaiting.Set(load.mWaiting);
+    mMetrics.mCallers.Set(static_cast<double>(mCallers->Connections()));
+    mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
+    mMetrics.mStateAge.Set((now - mStateSince).mCount / 1000);
+  }
+  if (now - mLastRollout >= kRolloutPeriod) {
+    mLastRollout = now;
+    mRollouts.Tick(mSettings.mName, mLifetime, now);
+  }
+  if (mStopping) {
+    ContinueStop(now);
+  }
+}
+
+void
+Sidecar::Impl::ContinueStop(Millis aNow)
+{
+  const Millis age = aNow - mStopBegan;
+  if (age < kStopAccepting) {
+    return;
+  }
+  mCallers->StopAccepting();
+  mCallers->CloseIdle();
+  const bool idle = mCallers->InFlight() == 0 && mPeerCalls.empty();
+  if (!idle && age < mSettings.mGrace - kStopReserve) {
+    return;
+  }
+  mTick.Stop();
+  mLog.Change(
+    "node",
+    "stopped",
+    { { "after_ms", age.Whole() }, { "unfinished", mCallers->InFlight() } });
+  mLog.Flush();
+  mStopped();
+}
+
+Sidecar::Sidecar(EventLoop& aLoop,
+                 const SidecarSettings& aSettings,
+                 const PlatformPort& aPort,
+                 RowStore& aStore)
+  : mImpl(std::make_unique<Impl>(aLoop, aSettings, aPort, aStore))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+Expected<void>
+Sidecar::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Sidecar::Reload(const SidecarSettings& aSettings)
+{
+  const bool same = aSettings == mImpl->mSettings;
+  mImpl->mSettings.mGrace = aSettings.mGrace;
+  mImpl->mSettings.mCheckInPeriod = aSettings.mCheckInPeriod;
+  mImpl->mLog.Change("node", "reloaded", { { "changed", !same } });
+}
+
+void
+Sidecar::Stop(std::function<void()> aStopped)
+{
+  mImpl->mStopped = std::move(aStopped);
+  mImpl->mStopping = true;
+  mImpl->mStopBegan = SteadyNow();
+  mImpl->mLog.Change("node",
+                     "stopping",
+                     { { "requests", mImpl->mCallers->InFlight() },
+                       { "calls_of_others", mImpl->mPeerCalls.size() } });
+  mImpl->mCallers->CloseAfterResponses();
+  mImpl->PublishRecord();
+}
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <sidecar/Sidecar.h>
+
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <base/Random.h>
+#include <gateway/RoutingTable.h>
+#include <http/CallerServer.h>
+#include <net/HttpServer.h>
+#include <sidecar/Dispatcher.h>
+#include <sidecar/EventLog.h>
+#include <sidecar/PeerMesh.h>
+#include <sidecar/RolloutAgent.h>
+#include <sidecar/SidecarMetrics.h>
+#include <sidecar/StoreSync.h>
+#include <sidecar/TargetDirectory.h>
+#include <sidecar/TargetGate.h>
+
+namespace papayaway::sidecar {
+
+/** The parts of a sidecar and how they are connected. */
+struct Sidecar::Impl
+{
+  EventLoop& mLoop;
+  SidecarSettings mSettings;
+  const PlatformPort& mPort;
+  Random mRandom = SeededFromSystem();
+  EventLog mLog;
+  SidecarMetrics mMetrics;
+  PeerMesh mMesh;
+  TargetDirectory mTargets;
+  RolloutAgent mRollouts;
+  TargetGate mGate;
+  Dispatcher mDispatcher;
+  StoreSync mSync;
+  std::unique_ptr<CallerServer> mCallers;
+  std::unique_ptr<HttpServer> mAdmin;
+  std::unique_ptr<HttpServer> mReadiness;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  Timer mTick;
+  Millis mLastTick;
+  Millis mLastLoad;
+  Millis mLastRollout;
+  Millis mLastFarLoad;
+  Millis mStateSince;
+  /** The desired state in force. */
+  std::shared_ptr<gateway::RoutingTable> mTable;
+  /** As the operator wrote it, for nodes that the store does not reach. */
+  std::string mStateText;
+  Millis mBehindSince;
+  std::uint64_t mLifetime;
+  std::uint64_t mSequence = 1;
+  std::optional<LoadMessage> mToldLoad;
+  /** Calls of other nodes at the local target, by link and call id. */
+  std::map<std::pair<LinkId, std::uint64_t>, TargetGate::CallId> mPeerCalls;
+  bool mStopping = false;
+  Millis mStopBegan;
+  std::function<void()> mStopped;
+
+  Impl(EventLoop& aLoop,
+       const SidecarSettings& aSettings,
+       const PlatformPort& aPort,
+       RowStore& aStore);
+
+  Expected<void> Start();
+  Expected<void> Listen();
+  [[nodiscard]] gateway::NodeRecord OwnRecord() const;
+  void PublishRecord();
+  void OnRecord(const gateway::NodeRecord& aRecord);
+  void OnOwnRecordElsewhere(const gateway::NodeRecord& aRecord);
+  void OnOrder(const Row& aRow);
+  /** @return whether the state is newer and was brought into force. */
+  bool ApplyState(const std::string& aText, const char* aSource);
+  void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
+  void OnCall(LinkId aLink, CallMessage aCall);
+  void OnLinkLost(LinkId aLink);
+  void OnLoad(LinkId aLink,
+              const std::string& aNode,
+              const LoadMessage& aMessage);
+  void OnAdmin(const std::shared_ptr<HttpExchange>& aExchange);
+  void OnCheckIn(HttpExchange& aExchange, const std::string& aTargetId);
+  [[nodiscard]] bool Ready() const;
+  void Tick();
+  void TellLoad(Millis aNow);
+  [[nodiscard]] std::size_t RankFor(const std::string& aService) const;
+  void ContinueStop(Millis aNow);
+};
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -0,0 +1,146 @@
+#include <sidecar/SidecarMetrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace papayaway::sidecar {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries&
+Buckets()
+{
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+    1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 800, 1200, 2000, 5000
+  };
+  return buckets;
+}
+
+prometheus::Family<prometheus::Counter>&
+CounterFamily(prometheus::Registry& aRegistry,
+              const char* aName,
+              const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+prometheus::Counter&
+Counter(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return CounterFamily(aRegistry, aName, aHelp).Add({});
+}
+
+prometheus::Gauge&
+Gauge(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(aRegistry)
+    .Add({});
+}
+
+prometheus::Family<prometheus::Histogram>&
+HistogramFamily(prometheus::Registry& aRegistry,
+                const char* aName,
+                const char* aHelp)
+{
+  return prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(
+    aRegistry);
+}
+
+} // namespace
+
+SidecarMetrics::SidecarMetrics()
+  : mRequests(CounterFamily(mRegistry,
+                            "papayaway_requests_total",
+                            "Requests of callers by route and outcome"))
+  , mRequestTimes(
+      HistogramFamily(mRegistry,
+                      "papayaway_request_milliseconds",
+                      "Time from a request to its answer, by route"))
+  , mRefused(CounterFamily(mRegistry,
+                           "papayaway_refused_total",
+                           "Requests refused as not run, by reason"))
+  , mRuns(CounterFamily(mRegistry,
+                        "papayaway_runs_total",
+                        "Requests sent to the local target, by outcome"))
+  , mStoreCalls(CounterFamily(mRegistry,
+                              "papayaway_store_calls_total",
+                              "Calls of the platform's store by outcome"))
+  , mRunTimes(HistogramFamily(mRegistry,
+                              "papayaway_run_milliseconds",
+                              "Time of requests at the local target")
+                .Add({}, Buckets()))
+  , mRepeats(Counter(mRegistry,
+                     "papayaway_repeats_total",
+                     "Requests sent to a second target"))
+  , mRepeatsDenied(Counter(mRegistry,
+                           "papayaway_repeats_denied_total",
+                           "Repeats that the budget did not allow"))
+  , mBadInput(Counter(mRegistry,
+                      "papayaway_bad_input_total",
+                      "Check-ins, rows and messages that can't be read"))
+  , mLogDropped(Counter(mRegistry,
+                        "papayaway_log_lines_dropped_total",
+                        "Lines dropped because the log's reader was slow"))
+  , mTargetConnections(Counter(mRegistry,
+                               "papayaway_target_connections_total",
+                               "Connections opened to the local target"))
+  , mRunning(Gauge(mRegistry,
+                   "papayaway_running",
+                   "Requests running at the local target"))
+  , mWaiting(Gauge(mRegistry,
+                   "papayaway_waiting",
+                   "Requests waiting for a slot of the local target"))
+  , mCallers(Gauge(mRegistry,
+                   "papayaway_caller_connections",
+                   "Open connections of callers"))
+  , mLinks(Gauge(mRegistry, "papayaway_links", "Open links to other nodes"))
+  , mStateVersion(Gauge(mRegistry,
+                        "papayaway_desired_state_version",
+                        "Version of the desired state in force"))
+  , mStateAge(Gauge(mRegistry,
+                    "papayaway_desired_state_age_seconds",
+                    "Time since the desired state came into force"))
+  , mLoopLag(Gauge(mRegistry,
+                   "papayaway_loop_lag_milliseconds",
+                   "How late the last timer of the loop ran"))
+{
+}
+
+std::string
+SidecarMetrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(mRegistry.Collect());
+}
+
+void
+SidecarMetrics::OnRequest(const std::string& aRoute,
+                          const std::string& aOutcome,
+                          Millis aTime)
+{
+  mRequests.Add({ { "route", aRoute }, { "outcome", aOutcome } }).Increment();
+  mRequestTimes.Add({ { "route", aRoute } }, Buckets()).Observe(aTime.mCount);
+}
+
+void
+SidecarMetrics::OnRefused(const std::string& aReason)
+{
+  mRefused.Add({ { "reason", aReason } }).Increment();
+}
+
+void
+SidecarMetrics::OnRun(const std::string& aOutcome, Millis aTime)
+{
+  mRuns.Add({ { "outcome", aOutcome } }).Increment();
+  mRunTimes.Observe(aTime.mCount);
+}
+
+void
+SidecarMetrics::OnStoreCall(const std::string& aCall,
+                            const std::string& aOutcome)
+{
+  mStoreCalls.Add({ { "call", aCall }, { "outcome", aOutcome } }).Increment();
+}
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -0,0 +1,308 @@
+#include <sidecar/StoreSync.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <sidecar/PeerMessages.h>
+
+namespace papayaway::sidecar {
+
+using gateway::NodeRecord;
+using gateway::RolloutProgress;
+
+namespace {
+
+/** The system's own table: a row for each node and each rollout. */
+constexpr const char* kTable = "papayaway";
+constexpr std::string_view kNodePrefix = "node/";
+constexpr std::string_view kRolloutPrefix = "rollout/";
+
+const char*
+OutcomeOf(const tl::expected<RowList, StoreError>& aResult)
+{
+  if (aResult) {
+    return "ok";
+  }
+  switch (aResult.error().mFailure) {
+    case StoreFailure::Conflict:
+      return "conflict";
+    case StoreFailure::HistoryGone:
+      return "history_gone";
+    case StoreFailure::OutcomeUnknown:
+      return "unknown";
+    case StoreFailure::Unavailable:
+      break;
+  }
+  return "unavailable";
+}
+
+} // namespace
+
+StoreSync::StoreSync(EventLoop& aLoop,
+                     StoreSyncOptions aOptions,
+                     RowStore& aStore,
+                     const OperatorNames& aNames,
+                     StoreSyncHandlers aHandlers,
+                     EventLog& aLog,
+                     SidecarMetrics& aMetrics,
+                     Random& aRandom)
+  : mOptions(std::move(aOptions))
+  , mStore(aStore)
+  , mNames(aNames)
+  , mHandlers(std::move(aHandlers))
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mRandom(aRandom)
+  , mOrdersTimer(aLoop,
+                 [this] {
+                   if (mOrdersRead) {
+                     FollowOrders();
+                   } else {
+                     ReadOrders();
+                   }
+                 })
+  , mNodesTimer(aLoop, [this] { ReadNodes(); })
+  , mRecordTimer(aLoop, [this] { WriteRecord(); })
+{
+}
+
+StoreSync::~StoreSync() = default;
+
+void
+StoreSync::Start()
+{
+  ReadOrders();
+  ReadNodes();
+}
+
+Millis
+StoreSync::StoreClock() const
+{
+  return mClock.mCount == 0 ? Millis{} : mClock + (SteadyNow() - mClockAt);
+}
+
+Millis
+StoreSync::RetryPause()
+{
+  const Millis pause = std::min(
+    mOptions.mRetryMost, mOptions.mRetryLeast * (1 << std::min(mFailures, 4)));
+  return pause * (0.5 + 0.5 * UniformFraction(mRandom));
+}
+
+void
+StoreSync::OnAnswer(const char* aCall, const Result& aResult)
+{
+  mMetrics.OnStoreCall(aCall, OutcomeOf(aResult));
+  if (aResult && aResult->mStoreClock.mCount > 0) {
+    mClock = aResult->mStoreClock;
+    mClockAt = SteadyNow();
+  }
+  const bool answers = aResult ||
+                       aResult.error().mFailure == StoreFailure::Conflict ||
+                       aResult.error().mFailure == StoreFailure::HistoryGone;
+  mFailures = answers ? 0 : mFailures + 1;
+  if (answers != mAvailable) {
+    mAvailable = answers;
+    mLog.Change("store",
+                answers ? "store_answers" : "store_does_not_answer",
+                { { "call", aCall },
+                  { "reason", aResult ? "" : aResult.error().mMessage } });
+  }
+}
+
+void
+StoreSync::TakeOrders(const RowList& aList)
+{
+  mOrdersVersion = std::max(mOrdersVersion, aList.mVersion);
+  for (const Row& row : aList.mRows) {
+    std::uint64_t& newest = mOrderVersions[row.mKey];
+    if (row.mVersion > newest) {
+      newest = row.mVersion;
+      mHandlers.mOrder(row);
+    }
+  }
+}
+
+void
+StoreSync::ReadOrders()
+{
+  mStore.Read(mNames.mOrders, [this](Result aResult) {
+    OnAnswer("read_orders", aResult);
+    if (!aResult) {
+      mOrdersTimer.StartOnce(RetryPause());
+      return;
+    }
+    mOrdersRead = true;
+    TakeOrders(*aResult);
+    FollowOrders();
+  });
+}
+
+void
+StoreSync::FollowOrders()
+{
+  mStore.Follow(mNames.mOrders,
+                mOrdersVersion,
+                mOptions.mFollowWait,
+                [this](Result aResult) {
+                  OnAnswer("follow_orders", aResult);
+                  if (!aResult) {
+                    // What was missed is read whole.
+                    if (aResult.error().mFailure == StoreFailure::HistoryGone) {
+                      ReadOrders();
+                    } else {
+                      mOrdersTimer.StartOnce(RetryPause());
+                    }
+                    return;
+                  }
+                  TakeOrders(*aResult);
+                  mOrdersTimer.StartOnce(
+                    aResult->mRows.empty() ? Millis{ 1 } : mOptions.mBatch);
+                });
+}
+
+void
+StoreSync::TakeNodes(const RowList& aList)
+{
+  for (const Row& row : aList.mRows) {
+    std::uint64_t& newest = mRowVersions[row.mKey];
+    if (row.mVersion < newest) {
+      continue;
+    }
+    newest = row.mVersion;
+    const std::string_view key = row.mKey;
+    if (key.starts_with(kNodePrefix)) {
+      const Expected<NodeRecord> record = DecodeRecord(row.mValue);
+      if (!record) {
+        mMetrics.mBadInput.Increment();
+        mLog.Change(
+          "store",
+          "bad_row",
+          { { "key", row.mKey }, { "reason", record.error().mMessage } });
+      } else if (record->mNode == mOptions.mNode) {
+        mHandlers.mOwnSuperseded(*record);
+      } else {
+        mHandlers.mRecord(*record);
+      }
+    } else if (key.starts_with(kRolloutPrefix)) {
+      const Expected<RolloutProgress> progress = DecodeProgress(row.mValue);
+      if (progress) {
+        mHandlers.mProgress(*progress);
+      } else {
+        mMetrics.mBadInput.Increment();
+        mLog.Change(
+          "store",
+          "bad_row",
+          { { "key", row.mKey }, { "reason", progress.error().mMessage } });
+      }
+    }
+  }
+}
+
+void
+StoreSync::ReadNodes()
+{
+  mStore.Read(kTable, [this](Result aResult) {
+    OnAnswer("read_nodes", aResult);
+    if (!aResult) {
+      mNodesTimer.StartOnce(RetryPause());
+      return;
+    }
+    mNodesRead = true;
+    TakeNodes(*aResult);
+    if (mRecordChanged) {
+      WriteRecord();
+    }
+    mNodesTimer.StartOnce(mOptions.mRepairPeriod *
+                          (0.75 + 0.5 * UniformFraction(mRandom)));
+  });
+}
+
+void
+StoreSync::Publish()
+{
+  mRecordChanged = true;
+  if (mNodesRead) {
+    WriteRecord();
+  }
+}
+
+void
+StoreSync::WriteRecord()
+{
+  // The table is read first: the condition needs the version of the row.
+  if (mWriting || !mRecordChanged || !mNodesRead) {
+    return;
+  }
+  mWriting = true;
+  mRecordChanged = false;
+  const std::string key = std::string(kNodePrefix) + mOptions.mNode;
+  StoreChange change;
+  change.mConditions.push_back(
+    { .mTable = kTable, .mKey = key, .mVersion = mRowVersions[key] });
+  change.mWrites.push_back({ .mTable = kTable,
+                             .mKey = key,
+                             .mValue = EncodeRecord(mHandlers.mOwnRecord()) });
+  mStore.Commit(change, [this, key](Result aResult) {
+    OnAnswer("write_record", aResult);
+    mWriting = false;
+    if (aResult) {
+      mRowVersions[key] = std::max(mRowVersions[key], aResult->mVersion);
+      if (mRecordChanged) {
+        WriteRecord();
+      }
+      return;
+    }
+    mRecordChanged = true;
+    if (aResult.error().mFailure == StoreFailure::Conflict ||
+        aResult.error().mFailure == StoreFailure::OutcomeUnknown) {
+      mNodesTimer.StartOnce(RetryPause());
+    } else {
+      mRecordTimer.StartOnce(RetryPause());
+    }
+  });
+}
+
+void
+StoreSync::WriteProgress(const RolloutProgress& aProgress,
+                         const std::string& aStatus)
+{
+  const std::string key = std::string(kRolloutPrefix) + aProgress.mService;
+  StoreChange change;
+  change.mConditions.push_back(
+    { .mTable = kTable, .mKey = key, .mVersion = mRowVersions[key] });
+  change.mWrites.push_back(
+    { .mTable = kTable, .mKey = key, .mValue = EncodeProgress(aProgress) });
+  change.mWrites.push_back({ .mTable = mNames.mResults,
+                             .mKey = mNames.mRolloutPrefix + aProgress.mService,
+                             .mValue = aStatus });
+  mStore.Commit(change, [this, key, aProgress](Result aResult) {
+    OnAnswer("write_rollout", aResult);
+    if (!aResult) {
+      // Another node may have written, or this write may have been made.
+      mNodesTimer.StartOnce(Millis{ 1 });
+      return;
+    }
+    mRowVersions[key] = std::max(mRowVersions[key], aResult->mVersion);
+    mHandlers.mProgress(aProgress);
+  });
+}
+
+void
+StoreSync::RemoveRecord(const std::string& aNode)
+{
+  const std::string key = std::string(kNodePrefix) + aNode;
+  const auto version = mRowVersions.find(key);
+  if (version == mRowVersions.end()) {
+    return;
+  }
+  StoreChange change;
+  change.mConditions.push_back(
+    { .mTable = kTable, .mKey = key, .mVersion = version->second });
+  change.mDeletes.push_back({ .mTable = kTable, .mKey = key });
+  mRowVersions.erase(version);
+  mStore.Commit(change,
+                [this](Result aResult) { OnAnswer("remove_record", aResult); });
+}
+
+} // namespace papayaway::sidecar
--- /dev/null
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -0,0 +1,135 @@
+#include <sidecar/TargetDirectory.h>
+
+#include <algorithm>
+
+namespace papayaway::sidecar {
+
+using gateway::Distance;
+using gateway::NodeRecord;
+using gateway::TargetCandidate;
+using gateway::TargetState;
+
+namespace {
+
+bool
+Serves(const NodeRecord& aRecord, std::string_view aService)
+{
+  return !aRecord.mLeaving && aRecord.mTarget &&
+         aRecord.mTarget->mState == TargetState::Ready &&
+         aRecord.mTarget->mService == aService;
+}
+
+bool
+Allows(const TargetQuestion& aQuestion, const std::string& aVersion)
+{
+  switch (aQuestion.mRule) {
+    case VersionRule::Any:
+      return true;
+    case VersionRule::Only:
+      return aVersion == aQuestion.mVersion;
+    case VersionRule::AllBut:
+      break;
+  }
+  return aVersion != aQuestion.mVersion;
+}
+
+} // namespace
+
+bool
+TargetDirectory::Merge(const NodeRecord& aRecord)
+{
+  const NodeRecord* const old = mNodes.Find(aRecord.mNode);
+  const std::string oldTarget =
+    old != nullptr && old->mTarget ? old->mTarget->mId : "";
+  if (!mNodes.Merge(aRecord)) {
+    return false;
+  }
+  const std::string target = aRecord.mTarget ? aRecord.mTarget->mId : "";
+  if (target != oldTarget) {
+    LoadNews news;
+    news.mLoad.mSlots = aRecord.mTarget ? aRecord.mTarget->mSlots : 1;
+    mLoads[aRecord.mNode] = news;
+  }
+  return true;
+}
+
+void
+TargetDirectory::Remove(const std::string& aNode)
+{
+  mNodes.Remove(aNode);
+  mLoads.erase(aNode);
+}
+
+void
+TargetDirectory::OnLoad(const std::string& aNode,
+                        const gateway::TargetLoad& aLoad)
+{
+  mLoads[aNode] = { .mLoad = aLoad };
+}
+
+void
+TargetDirectory::OnSent(const std::string& aNode)
+{
+  ++mLoads[aNode].mSentSince;
+}
+
+std::vector<TargetCandidate>
+TargetDirectory::Candidates(const TargetQuestion& aQuestion) const
+{
+  std::vector<TargetCandidate> candidates;
+  for (const auto& [node, record] : mNodes.All()) {
+    if (!Serves(record, aQuestion.mService) ||
+        !Allows(aQuestion, record.mTarget->mVersion) || !mUsable(node) ||
+        std::find(aQuestion.mExcluded.begin(),
+                  aQuestion.mExcluded.end(),
+                  node) != aQuestion.mExcluded.end()) {
+      continue;
+    }
+    TargetCandidate candidate{ .mNode = node };
+    if (record.mDataCentre != mDataCentre) {
+      candidate.mDistance = record.mRegion == mRegion ? Distance::SameRegion
+                                                      : Distance::OtherRegion;
+    }
+    const auto load = mLoads.find(node);
+    if (load != mLoads.end()) {
+      candidate.mLoad = load->second.mLoad;
+      candidate.mSentSince = load->second.mSentSince;
+    }
+    candidate.mLoad.mSlots = record.mTarget->mSlots;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+bool
+TargetDirectory::HasReady(std::string_view aService,
+                          std::string_view aVersion,
+                          bool aOthers) const
+{
+  const auto& all = mNodes.All();
+  return std::any_of(all.begin(), all.end(), [&](const auto& aEntry) {
+    return Serves(aEntry.second, aService) &&
+           (aEntry.second.mTarget->mVersion != aVersion) == aOthers &&
+           mUsable(aEntry.first);
+  });
+}
+
+bool
+TargetDirectory::OthersIdle(std::string_view aService,
+                            std::string_view aVersion) const
+{
+  const auto& all = mNodes.All();
+  return std::none_of(all.begin(), all.end(), [&](const auto& aEntry) {
+    const NodeRecord& record = aEntry.second;
+    if (!record.mTarget || record.mTarget->mService != aService ||
+        record.mTarget->mVersion == aVersion ||
+        record.mTarget->mState == TargetState::Gone) {
+      return false;
+    }
+    const auto load = mLoads.find(aEntry.first);
+    return load != mLoads.end() &&
+           load->second.mLoad.mRunning + load->second.mLoad.mWaiting > 0;
+  });
+}
+
+} // namespace papayaway::sidecar
--- a/setup.sh
+++ b/setup.sh
@@ -6,7 +6,7 @@
 packages=(
   build-essential cmake ninja-build ccache clang clang-format clang-tidy
   libev-dev libwebsocketpp-dev libmicrohttpd-dev libcurl4-openssl-dev
-  libinih-dev nlohmann-json3-dev libexpected-dev librapidcheck-dev
+  libinih-dev libhttp-parser-dev nlohmann-json3-dev libexpected-dev librapidcheck-dev
   prometheus-cpp-dev libgoogle-glog-dev libboost-dev
   libboost-program-options-dev libxxhash-dev libssl-dev
   libgtest-dev libbenchmark-dev
