--- a/libs/gateway/include/gateway/NodeRecord.h
+++ b/libs/gateway/include/gateway/NodeRecord.h
@@ -54,7 +54,12 @@
   }
 };
 
-/** The newest record of each node; the order of arrival does not matter. */
+/**
+ * The newest record of each node; the order of arrival does not matter.
+ *
+ * Addresses are used again after a node has gone for good: of two nodes with
+ * one address, the one that started later is there.
+ */
 class NodeDirectory
 {
 public:
--- a/libs/gateway/include/gateway/TargetChoice.h
+++ b/libs/gateway/include/gateway/TargetChoice.h
@@ -63,8 +63,8 @@
   Millis mOtherRegion{ 250 };
   /** What the caller loses when a run fails and has to be repeated. */
   Millis mFailure{ 800 };
-  /** Runs differ: this many means must fit into the objective, which holds
-   *  for about 3 runs in 4. */
+  /** Runs differ: behind a crossing this many means must fit into the
+   *  objective, which holds for about 3 runs in 4. */
   double mRunMargin = 1.3;
 };
 
--- a/libs/gateway/src/NodeRecord.cpp
+++ b/libs/gateway/src/NodeRecord.cpp
@@ -1,18 +1,28 @@
 #include <gateway/NodeRecord.h>
 
+#include <algorithm>
+
 namespace papayaway::gateway {
 
 bool
 NodeDirectory::Merge(const NodeRecord& aRecord)
 {
-  const auto [place, added] = mRecords.try_emplace(aRecord.mNode, aRecord);
-  if (added) {
-    return true;
-  }
-  if (!aRecord.Supersedes(place->second)) {
+  const auto known = mRecords.find(aRecord.mNode);
+  if (known != mRecords.end() && !aRecord.Supersedes(known->second)) {
     return false;
   }
-  place->second = aRecord;
+  const auto sameAddress =
+    std::find_if(mRecords.begin(), mRecords.end(), [&](const auto& aEntry) {
+      return aEntry.first != aRecord.mNode &&
+             aEntry.second.mPeerAddress == aRecord.mPeerAddress;
+    });
+  if (sameAddress != mRecords.end()) {
+    if (sameAddress->second.mLifetime > aRecord.mLifetime) {
+      return false;
+    }
+    mRecords.erase(sameAddress);
+  }
+  mRecords.insert_or_assign(aRecord.mNode, aRecord);
   return true;
 }
 
--- a/libs/gateway/src/TargetChoice.cpp
+++ b/libs/gateway/src/TargetChoice.cpp
@@ -65,13 +65,17 @@
          Penalty(aCandidate, aCosts);
 }
 
+/** @return whether the candidate is expected to meet the objective: near ones
+ *  in the mean, those behind a crossing with a margin, since a crossing that
+ *  does not help is paid for nothing. */
 bool
 InTime(const TargetCandidate& aCandidate,
        const ChoiceNeeds& aNeeds,
        const ChoiceCosts& aCosts)
 {
-  return ExpectedWait(aCandidate) +
-           RunTime(aCandidate, aNeeds) * aCosts.mRunMargin +
+  const double margin =
+    aCandidate.mDistance == Distance::SameDataCentre ? 1 : aCosts.mRunMargin;
+  return ExpectedWait(aCandidate) + RunTime(aCandidate, aNeeds) * margin +
            Penalty(aCandidate, aCosts) <=
          aNeeds.mObjectiveLeft;
 }
--- a/libs/gateway/tests/RepeatBudgetTest.cpp
+++ b/libs/gateway/tests/RepeatBudgetTest.cpp
@@ -61,8 +61,12 @@
 // that has left.
 TEST(NodeDirectory, OrderOfArrivalDoesNotMatter)
 {
-  const NodeRecord first{ .mNode = "n", .mLifetime = 1, .mSequence = 9 };
-  const NodeRecord second{ .mNode = "n", .mLifetime = 2, .mSequence = 1 };
+  const NodeRecord first{
+    .mNode = "n", .mPeerAddress = "a:1", .mLifetime = 1, .mSequence = 9
+  };
+  const NodeRecord second{
+    .mNode = "n", .mPeerAddress = "a:1", .mLifetime = 2, .mSequence = 1
+  };
   NodeDirectory directory;
   EXPECT_TRUE(directory.Merge(second));
   EXPECT_FALSE(directory.Merge(first));
@@ -70,5 +74,23 @@
   EXPECT_EQ(directory.Find("n")->mLifetime, 2U);
 }
 
+// Guards against a node that links to itself: its address belonged to a node
+// whose record still stood in the store, and each message came back.
+TEST(NodeDirectory, LaterNodeTakesOverAnAddress)
+{
+  const NodeRecord gone{ .mNode = "old",
+                         .mPeerAddress = "a:1",
+                         .mLifetime = 1 };
+  const NodeRecord present{ .mNode = "new",
+                            .mPeerAddress = "a:1",
+                            .mLifetime = 5 };
+  NodeDirectory directory;
+  EXPECT_TRUE(directory.Merge(gone));
+  EXPECT_TRUE(directory.Merge(present));
+  EXPECT_EQ(directory.Find("old"), nullptr);
+  EXPECT_FALSE(directory.Merge(gone));
+  EXPECT_NE(directory.Find("new"), nullptr);
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -80,8 +80,9 @@
   /** Takes in the answer to a call that was sent on a link. */
   void OnReply(const std::string& aNode, ReplyMessage aReply);
 
-  /** The calls on the link have no answer. */
-  void OnLinkLost(LinkId aLink);
+  /** The calls on the link have no answer, or were not sent if it was never
+   *  open. */
+  void OnLinkLost(LinkId aLink, bool aWasOpen);
 
 private:
   struct ActiveRequest
--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -24,8 +24,9 @@
 {
   /** A message of a node that has said who it is. */
   std::function<void(LinkId, const std::string& aNode, PeerMessage)> mMessage;
-  /** A link ended; calls that were sent on it have no answer. */
-  std::function<void(LinkId, const std::string& aNode)> mLost;
+  /** A link ended. Receives whether it was ever open: if not, what was
+   *  written to it was not sent. */
+  std::function<void(LinkId, bool aWasOpen)> mLost;
   /** @return the record of this node, which is the first message of a link. */
   std::function<gateway::NodeRecord()> mOwnRecord;
 };
@@ -45,6 +46,10 @@
   /** Between attempts to open a link: the least and the longest pause. */
   Millis mRetryLeast{ 200 };
   Millis mRetryMost{ 2000 };
+  /** A link that was opened for calls is closed after this time without. */
+  Millis mIdleLimit = Seconds(8);
+  /** Calls that wait for a link to open are given up after this time. */
+  Millis mOpenTimeout{ 400 };
 };
 
 /** The links between this node and the others. */
@@ -63,21 +68,28 @@
   /** Binds and starts to accept links. */
   Expected<void> Listen();
 
-  /** Keeps a link to the node at this address from now on. */
-  void Want(const std::string& aNode, const std::string& aAddress);
-
-  /** Keeps no link to the node any more. */
-  void Unwant(const std::string& aNode);
+  /** Keeps links to these nodes, by name with their addresses, and to no
+   *  others. */
+  void Keep(const std::map<std::string, std::string>& aNodes);
 
   /** @return the link that the message was written to, or 0. */
   LinkId Send(const std::string& aNode, const PeerMessage& aMessage);
 
+  /** Writes to a link that is opened for it if there is none.
+   *  @return the link, or 0 if the node could not be reached lately. */
+  LinkId SendOpening(const std::string& aNode,
+                     const std::string& aAddress,
+                     const PeerMessage& aMessage);
+
   /** Writes to one link, if it is still open. */
   void Reply(LinkId aLink, const PeerMessage& aMessage);
 
   /** Writes to one link of each linked node. */
   void Broadcast(const PeerMessage& aMessage);
 
+  /** @return whether opening a link to the node failed a moment ago. */
+  [[nodiscard]] bool Failing(const std::string& aNode) const;
+
   /** @return whether calls can be sent to the node now. */
   [[nodiscard]] bool Reachable(const std::string& aNode) const;
 
@@ -93,21 +105,28 @@
     std::unique_ptr<PeerSocket> mSocket;
     std::string mNode;
     Millis mHeard;
+    Millis mUsed;
     bool mOpen = false;
+    /** Opened for calls, by SendOpening(). */
+    bool mOnDemand = false;
+    /** Messages that wait for the link to open. */
+    std::vector<std::string> mQueued;
   };
   struct Wanted
   {
     std::string mAddress;
     Millis mNextTry;
     Millis mPause;
-    LinkId mOpening = 0;
   };
 
   void Attach(LinkId aId, Link& aLink);
   void OnBytes(LinkId aId, const std::string& aBytes);
   void Drop(LinkId aId, const char* aReason);
   [[nodiscard]] LinkId Best(const std::string& aNode) const;
-  void Open(const std::string& aNode, Wanted& aWanted, Millis aNow);
+  [[nodiscard]] LinkId Opening(const std::string& aNode) const;
+  LinkId Open(const std::string& aNode,
+              const std::string& aAddress,
+              Millis aTimeout);
 
   EventLoop& mLoop;
   PeerMeshOptions mOptions;
@@ -119,6 +138,8 @@
   /** The open links of each node, the oldest first. */
   std::map<std::string, std::vector<LinkId>, std::less<>> mByNode;
   std::map<std::string, Wanted> mWanted;
+  /** When opening a link on demand failed last. */
+  std::map<std::string, Millis> mFailed;
   LinkId mNextId = 1;
   Millis mLastTick;
 };
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 
@@ -9,6 +10,7 @@
 #include <gateway/NodeRecord.h>
 #include <gateway/Rollout.h>
 #include <gateway/TargetChoice.h>
+#include <gateway/TextDelta.h>
 #include <net/Http.h>
 
 namespace papayaway::sidecar {
@@ -91,10 +93,21 @@
   gateway::TargetLoad mLoad;
   /** The version of the desired state in force at the sender. */
   std::uint64_t mStateVersion = 0;
+  /** Whether the sender follows the operator's rows in the store. */
+  bool mFollowing = false;
 
   bool operator==(const LoadMessage&) const = default;
 };
 
+/** The loads of the targets of one data centre, from one of its nodes to a node
+ *  of another data centre, and on to that one's neighbours. */
+struct LoadsMessage
+{
+  std::map<std::string, gateway::TargetLoad> mLoads;
+
+  bool operator==(const LoadsMessage&) const = default;
+};
+
 /** News of a node: the first message on a link, or a change. */
 struct RecordMessage
 {
@@ -105,6 +118,8 @@
 
 struct EvidenceMessage
 {
+  /** The node that counted. */
+  std::string mNode;
   std::uint64_t mLifetime = 0;
   gateway::VersionEvidence mCounts;
 
@@ -118,29 +133,36 @@
   bool operator==(const ProgressMessage&) const = default;
 };
 
-/** Asks for the desired state in force at the receiver. */
+/** Asks for the desired state and the orders in force at the receiver. */
 struct StateQuestion
 {
   bool operator==(const StateQuestion&) const = default;
 };
 
-/** The desired state as the operator wrote it. */
-struct StateMessage
+/** A row of the operator as the store holds it. */
+struct OrderMessage
 {
-  std::string mText;
-
-  bool operator==(const StateMessage&) const = default;
+  std::string mKey;
+  /** Empty if the value comes as a delta. */
+  std::string mValue;
+  std::uint64_t mVersion = 0;
+  /** The version of the row that the delta starts from, or 0. */
+  std::uint64_t mBase = 0;
+  gateway::TextDelta mDelta;
+
+  bool operator==(const OrderMessage&) const = default;
 };
 
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
                                  LoadMessage,
+                                 LoadsMessage,
                                  RecordMessage,
                                  EvidenceMessage,
                                  ProgressMessage,
                                  StateQuestion,
-                                 StateMessage>;
+                                 OrderMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/RolloutAgent.h
+++ b/libs/sidecar/include/sidecar/RolloutAgent.h
@@ -24,6 +24,8 @@
   /** Writes a step; a lost race is seen from the progress that comes back. */
   std::function<void(const gateway::RolloutProgress&)> mWrite;
   std::function<void(const PeerMessage&)> mBroadcast;
+  /** Tells the counts of this node to those that decide. */
+  std::function<void(const EvidenceMessage&)> mTellEvidence;
 };
 
 /**
@@ -50,7 +52,7 @@
   /** Takes in progress that another node told, written or not. */
   void OnProgress(const gateway::RolloutProgress& aProgress);
 
-  void OnEvidence(const std::string& aNode, const EvidenceMessage& aMessage);
+  void OnEvidence(const EvidenceMessage& aMessage);
 
   /** Counts a run at the local target. */
   void OnRun(const std::string& aNode,
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -19,8 +19,8 @@
 
 struct StoreSyncHandlers
 {
-  /** A row of the operator, new or changed. */
-  std::function<void(const Row&)> mOrder;
+  /** A row of the operator, new or changed, and the one that it replaces. */
+  std::function<void(const Row& aOld, const Row& aNew)> mOrder;
   /** The record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecord;
   std::function<void(const gateway::RolloutProgress&)> mProgress;
@@ -64,6 +64,26 @@
 
   void Start();
 
+  /** Chooses whether this node follows the operator's rows and reads the
+   *  nodes' table again from time to time. A node that does not gets the news
+   *  from its neighbours. */
+  void SetFollowing(bool aFollowing);
+
+  /** @return whether it follows and the store answers. */
+  [[nodiscard]] bool Following() const
+  {
+    return mFollowing && mOrdersRead && mFollowWorks;
+  }
+
+  /** Takes in a row of the operator that another node read. */
+  void TakeOrder(const Row& aRow);
+
+  /** @return the operator's rows as far as known. */
+  [[nodiscard]] const std::map<std::string, Row>& Orders() const
+  {
+    return mOrders;
+  }
+
   /** The record of this node has changed and is to be written. */
   void Publish();
 
@@ -75,8 +95,8 @@
   /** Removes the record of a node that has gone for good. */
   void RemoveRecord(const std::string& aNode);
 
-  /** @return whether the operator's rows and the nodes were read once. */
-  [[nodiscard]] bool Loaded() const { return mOrdersRead && mNodesRead; }
+  /** @return whether the nodes' table was read once. */
+  [[nodiscard]] bool Loaded() const { return mNodesRead; }
 
   /** @return the store's clock as far as known, or 0. */
   [[nodiscard]] Millis StoreClock() const;
@@ -84,6 +104,7 @@
 private:
   using Result = tl::expected<RowList, StoreError>;
 
+  void AskOrders();
   void ReadOrders();
   void FollowOrders();
   void ReadNodes();
@@ -107,12 +128,17 @@
   bool mNodesRead = false;
   bool mAvailable = true;
   std::uint64_t mOrdersVersion = 0;
-  /** The highest version seen of each operator's row. */
-  std::map<std::string, std::uint64_t> mOrderVersions;
+  /** The newest operator's rows by key. */
+  std::map<std::string, Row> mOrders;
+  bool mFollowing = false;
+  bool mFollowWorks = false;
+  /** A call to read or follow the operator's rows is under way. */
+  bool mAsking = false;
   /** The versions of rows of the nodes' table. */
   std::map<std::string, std::uint64_t> mRowVersions;
-  /** The versions of the operator's status rows. */
   bool mWriting = false;
+  /** Whether the nodes' table was read after the first write of the record. */
+  bool mReadSinceWrite = false;
   bool mRecordChanged = false;
   int mFailures = 0;
   Millis mClock;
--- a/libs/sidecar/include/sidecar/TargetDirectory.h
+++ b/libs/sidecar/include/sidecar/TargetDirectory.h
@@ -42,6 +42,13 @@
   void Remove(const std::string& aNode);
 
   void OnLoad(const std::string& aNode, const gateway::TargetLoad& aLoad);
+
+  /** @return the loads of the targets of the own data centre. */
+  [[nodiscard]] std::map<std::string, gateway::TargetLoad> OwnLoads() const;
+
+  /** @return whether the node's load was told within aAge. */
+  [[nodiscard]] bool LoadIsFresh(const std::string& aNode, Millis aAge) const;
+
   void OnSent(const std::string& aNode);
 
   /** @return the targets that the request may go to. The names stay valid
@@ -67,6 +74,7 @@
   {
     gateway::TargetLoad mLoad;
     int mSentSince = 0;
+    Millis mToldAt;
   };
 
   std::string mDataCentre;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -176,13 +176,12 @@
                                  .mRule = active.mVersion.mRule,
                                  .mVersion = active.mVersion.mVersion,
                                  .mExcluded = active.mExcluded });
-  const auto choice =
-    gateway::ChooseTarget(candidates,
-                          { .mObjectiveLeft = active.mArrived +
-                                              active.mRule->mObjective - now,
-                            .mRunRatio = RunRatio(active) },
-                          mOptions.mCosts,
-                          mParts.mRandom);
+  const auto choice = gateway::ChooseTarget(
+    candidates,
+    { .mObjectiveLeft = active.mArrived + active.mRule->mObjective - now,
+      .mRunRatio = RunRatio(active) },
+    mOptions.mCosts,
+    mParts.mRandom);
   if (!choice) {
     if (active.mVersion.mRule == VersionRule::Only) {
       // No target of the drawn version has room: the others may run it.
@@ -252,7 +251,9 @@
     return;
   }
   mParts.mTargets.OnSent(aNode);
-  aActive.mLink = mParts.mMesh.Send(aNode, call);
+  const gateway::NodeRecord* const record = mParts.mTargets.Nodes().Find(aNode);
+  aActive.mLink = mParts.mMesh.SendOpening(
+    aNode, record == nullptr ? "" : record->mPeerAddress, call);
   if (aActive.mLink == 0) {
     HandleReply(aId, { .mOutcome = CallOutcome::NotRun, .mReason = "no_link" });
   }
@@ -465,7 +466,7 @@
 }
 
 void
-Dispatcher::OnLinkLost(LinkId aLink)
+Dispatcher::OnLinkLost(LinkId aLink, bool aWasOpen)
 {
   std::vector<std::uint64_t> lost;
   for (const auto& [id, active] : mActive) {
@@ -474,10 +475,11 @@
     }
   }
   for (const std::uint64_t id : lost) {
-    HandleReply(id,
-                { .mOutcome = CallOutcome::Unknown,
-                  .mReason = "link_lost",
-                  .mReachedTarget = true });
+    HandleReply(
+      id,
+      { .mOutcome = aWasOpen ? CallOutcome::Unknown : CallOutcome::NotRun,
+        .mReason = aWasOpen ? "link_lost" : "link_not_opened",
+        .mReachedTarget = aWasOpen });
   }
 }
 
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -14,6 +14,8 @@
  *  meaningless. */
 constexpr Millis kOwnPause{ 800 };
 constexpr Millis kHandshakeTimeout{ 1500 };
+/** A node that could not be reached on demand is left out this long. */
+constexpr Millis kFailurePause{ 1500 };
 
 } // namespace
 
@@ -70,6 +72,9 @@
           link.mHeard = SteadyNow();
           link.mSocket->Send(
             EncodeMessage(RecordMessage{ mHandlers.mOwnRecord() }));
+          for (const std::string& message : std::exchange(link.mQueued, {})) {
+            link.mSocket->Send(message);
+          }
         },
       .mMessage = [this,
                    aId](const std::string& aBytes) { OnBytes(aId, aBytes); },
@@ -101,6 +106,11 @@
     if (record == nullptr) {
       return;
     }
+    if (record->mRecord.mNode == mOptions.mNode) {
+      // The address belonged to a node that has gone, and is this node's now.
+      Drop(aId, "own address");
+      return;
+    }
     // The first message says who is at the other end.
     link.mNode = record->mRecord.mNode;
     mByNode[link.mNode].push_back(aId);
@@ -131,39 +141,44 @@
       mByNode.erase(links);
     }
   }
-  for (auto& [node, wanted] : mWanted) {
-    if (wanted.mOpening == aId) {
-      wanted.mOpening = 0;
-    }
+  if (!link.mOpen && link.mOnDemand) {
+    mFailed[link.mNode] = SteadyNow();
   }
   if (wasKnown) {
     mLog.Change(
       "peers", "link_lost", { { "peer", link.mNode }, { "reason", aReason } });
-    mHandlers.mLost(aId, link.mNode);
+  }
+  if (wasKnown || link.mOnDemand) {
+    mHandlers.mLost(aId, link.mOpen);
   }
 }
 
 void
-PeerMesh::Want(const std::string& aNode, const std::string& aAddress)
+PeerMesh::Keep(const std::map<std::string, std::string>& aNodes)
 {
-  if (aNode == mOptions.mNode) {
-    return;
-  }
-  Wanted& wanted = mWanted[aNode];
-  if (wanted.mAddress == aAddress) {
-    return;
+  std::erase_if(mWanted, [&](const auto& aEntry) {
+    const auto found = aNodes.find(aEntry.first);
+    return found == aNodes.end() || found->second != aEntry.second.mAddress;
+  });
+  const Millis now = SteadyNow();
+  for (const auto& [node, address] : aNodes) {
+    const bool opensFirst = mOptions.mNode < node;
+    mWanted.try_emplace(
+      node,
+      Wanted{ .mAddress = address,
+              .mNextTry = opensFirst ? Millis{} : now + mOptions.mOpenLater,
+              .mPause = mOptions.mRetryLeast });
   }
-  const bool mayOpenFirst = mOptions.mNode < aNode;
-  wanted = Wanted{ .mAddress = aAddress,
-                   .mNextTry = mayOpenFirst ? Millis{}
-                                            : SteadyNow() + mOptions.mOpenLater,
-                   .mPause = mOptions.mRetryLeast };
 }
 
-void
-PeerMesh::Unwant(const std::string& aNode)
+LinkId
+PeerMesh::Opening(const std::string& aNode) const
 {
-  mWanted.erase(aNode);
+  const auto found =
+    std::find_if(mLinks.begin(), mLinks.end(), [&](const auto& aEntry) {
+      return !aEntry.second.mOpen && aEntry.second.mNode == aNode;
+    });
+  return found == mLinks.end() ? 0 : found->first;
 }
 
 LinkId
@@ -190,11 +205,43 @@
 {
   const LinkId id = Best(aNode);
   if (id != 0) {
-    mLinks.at(id).mSocket->Send(EncodeMessage(aMessage));
+    Link& link = mLinks.at(id);
+    link.mUsed = SteadyNow();
+    link.mSocket->Send(EncodeMessage(aMessage));
   }
   return id;
 }
 
+LinkId
+PeerMesh::SendOpening(const std::string& aNode,
+                      const std::string& aAddress,
+                      const PeerMessage& aMessage)
+{
+  const LinkId open = Send(aNode, aMessage);
+  if (open != 0) {
+    return open;
+  }
+  if (Failing(aNode)) {
+    return 0;
+  }
+  LinkId id = Opening(aNode);
+  if (id == 0) {
+    id = Open(aNode, aAddress, mOptions.mOpenTimeout);
+  }
+  Link& link = mLinks.at(id);
+  link.mOnDemand = true;
+  link.mUsed = SteadyNow();
+  link.mQueued.push_back(EncodeMessage(aMessage));
+  return id;
+}
+
+bool
+PeerMesh::Failing(const std::string& aNode) const
+{
+  const auto found = mFailed.find(aNode);
+  return found != mFailed.end() && SteadyNow() - found->second < kFailurePause;
+}
+
 void
 PeerMesh::Reply(LinkId aLink, const PeerMessage& aMessage)
 {
@@ -230,23 +277,18 @@
   return nodes;
 }
 
-void
-PeerMesh::Open(const std::string& aNode, Wanted& aWanted, Millis aNow)
+LinkId
+PeerMesh::Open(const std::string& aNode,
+               const std::string& aAddress,
+               Millis aTimeout)
 {
   const LinkId id = mNextId++;
   Link& link = mLinks[id];
   link.mNode = aNode;
-  link.mSocket =
-    PeerSocket::Connect(mLoop,
-                        aWanted.mAddress,
-                        kAuthorization,
-                        {},
-                        { .mHandshakeTimeout = kHandshakeTimeout });
+  link.mSocket = PeerSocket::Connect(
+    mLoop, aAddress, kAuthorization, {}, { .mHandshakeTimeout = aTimeout });
   Attach(id, link);
-  aWanted.mOpening = id;
-  // Full jitter: the nodes that lost one peer must not come back together.
-  aWanted.mNextTry = aNow + aWanted.mPause * (0.5 + UniformFraction(mRandom));
-  aWanted.mPause = std::min(aWanted.mPause * 2, mOptions.mRetryMost);
+  return id;
 }
 
 void
@@ -255,19 +297,29 @@
   const bool paused = aNow - mLastTick > kOwnPause;
   mLastTick = aNow;
   std::vector<LinkId> silent;
+  std::vector<LinkId> idle;
   for (auto& [id, link] : mLinks) {
     if (paused) {
       link.mHeard = aNow;
     } else if (aNow - link.mHeard > mOptions.mCloseAfter) {
       silent.push_back(id);
+    } else if (link.mOnDemand && aNow - link.mUsed > mOptions.mIdleLimit &&
+               !mWanted.contains(link.mNode)) {
+      idle.push_back(id);
     }
   }
   for (const LinkId id : silent) {
     Drop(id, "silent");
   }
+  for (const LinkId id : idle) {
+    Drop(id, "idle");
+  }
   for (auto& [node, wanted] : mWanted) {
-    if (Best(node) == 0 && wanted.mOpening == 0 && wanted.mNextTry <= aNow) {
-      Open(node, wanted, aNow);
+    if (Best(node) == 0 && wanted.mNextTry <= aNow && Opening(node) == 0) {
+      Open(node, wanted.mAddress, kHandshakeTimeout);
+      // Jitter: the nodes that lost one peer must not come back together.
+      wanted.mNextTry = aNow + wanted.mPause * (0.5 + UniformFraction(mRandom));
+      wanted.mPause = std::min(wanted.mPause * 2, mOptions.mRetryMost);
     }
   }
 }
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -30,7 +30,8 @@
   Evidence,
   Progress,
   StateQuestion,
-  State,
+  Order,
+  Loads,
 };
 
 json
@@ -164,7 +165,7 @@
 json
 ToJson(const EvidenceMessage& aMessage)
 {
-  json list = { Type::Evidence, aMessage.mLifetime };
+  json list = { Type::Evidence, aMessage.mNode, aMessage.mLifetime };
   for (const auto& [key, counts] : aMessage.mCounts) {
     list.push_back(json{ key.mService,
                          key.mVersion,
@@ -180,8 +181,9 @@
 EvidenceMessage
 EvidenceOf(const json& aList)
 {
-  EvidenceMessage message{ .mLifetime = aList.at(1).get<std::uint64_t>() };
-  for (std::size_t i = 2; i < aList.size(); ++i) {
+  EvidenceMessage message{ .mNode = aList.at(1).get<std::string>(),
+                           .mLifetime = aList.at(2).get<std::uint64_t>() };
+  for (std::size_t i = 3; i < aList.size(); ++i) {
     const json& entry = aList.at(i);
     message.mCounts[{ .mService = entry.at(0).get<std::string>(),
                       .mVersion = entry.at(1).get<std::string>(),
@@ -263,6 +265,36 @@
            .mLoad = LoadOf(aList.at(9)) };
 }
 
+json
+ToJson(const gateway::TextDelta& aDelta)
+{
+  json list = { aDelta.mHash };
+  for (const gateway::DeltaPart& part : aDelta.mParts) {
+    if (part.mLength > 0) {
+      list.push_back(json{ part.mFrom, part.mLength });
+    } else {
+      list.push_back(Binary(part.mBytes));
+    }
+  }
+  return list;
+}
+
+gateway::TextDelta
+DeltaOf(const json& aList)
+{
+  gateway::TextDelta delta{ .mHash = aList.at(0).get<std::uint64_t>() };
+  for (std::size_t i = 1; i < aList.size(); ++i) {
+    const json& part = aList.at(i);
+    if (part.is_array()) {
+      delta.mParts.push_back({ .mFrom = part.at(0).get<std::uint64_t>(),
+                               .mLength = part.at(1).get<std::uint64_t>() });
+    } else {
+      delta.mParts.push_back({ .mBytes = Bytes(part) });
+    }
+  }
+  return delta;
+}
+
 json
 Encoded(const PeerMessage& aMessage)
 {
@@ -272,15 +304,26 @@
       if constexpr (std::is_same_v<Message, CancelMessage>) {
         return { Type::Cancel, aValue.mId };
       } else if constexpr (std::is_same_v<Message, LoadMessage>) {
-        return { Type::Load, ToJson(aValue.mLoad), aValue.mStateVersion };
+        return { Type::Load,
+                 ToJson(aValue.mLoad),
+                 aValue.mStateVersion,
+                 aValue.mFollowing };
+      } else if constexpr (std::is_same_v<Message, LoadsMessage>) {
+        json list = json::array({ Type::Loads });
+        for (const auto& [node, load] : aValue.mLoads) {
+          list.push_back(node);
+          list.push_back(ToJson(load));
+        }
+        return list;
       } else if constexpr (std::is_same_v<Message, RecordMessage>) {
         return { Type::Record, ToJson(aValue.mRecord) };
       } else if constexpr (std::is_same_v<Message, ProgressMessage>) {
         return { Type::Progress, ToJson(aValue.mProgress) };
       } else if constexpr (std::is_same_v<Message, StateQuestion>) {
         return json::array({ Type::StateQuestion });
-      } else if constexpr (std::is_same_v<Message, StateMessage>) {
-        return { Type::State, Binary(aValue.mText) };
+      } else if constexpr (std::is_same_v<Message, OrderMessage>) {
+        return { Type::Order,     aValue.mKey,  Binary(aValue.mValue),
+                 aValue.mVersion, aValue.mBase, ToJson(aValue.mDelta) };
       } else {
         return ToJson(aValue);
       }
@@ -300,7 +343,16 @@
       return CancelMessage{ .mId = aList.at(1).get<std::uint64_t>() };
     case Type::Load:
       return LoadMessage{ .mLoad = LoadOf(aList.at(1)),
-                          .mStateVersion = aList.at(2).get<std::uint64_t>() };
+                          .mStateVersion = aList.at(2).get<std::uint64_t>(),
+                          .mFollowing = aList.at(3).get<bool>() };
+    case Type::Loads: {
+      LoadsMessage message;
+      for (std::size_t i = 1; i + 1 < aList.size(); i += 2) {
+        message.mLoads[aList.at(i).get<std::string>()] =
+          LoadOf(aList.at(i + 1));
+      }
+      return message;
+    }
     case Type::Record:
       return RecordMessage{ .mRecord = RecordOf(aList.at(1)) };
     case Type::Evidence:
@@ -309,8 +361,12 @@
       return ProgressMessage{ .mProgress = ProgressOf(aList.at(1)) };
     case Type::StateQuestion:
       return StateQuestion{};
-    case Type::State:
-      return StateMessage{ .mText = Bytes(aList.at(1)) };
+    case Type::Order:
+      return OrderMessage{ .mKey = aList.at(1).get<std::string>(),
+                           .mValue = Bytes(aList.at(2)),
+                           .mVersion = aList.at(3).get<std::uint64_t>(),
+                           .mBase = aList.at(4).get<std::uint64_t>(),
+                           .mDelta = DeltaOf(aList.at(5)) };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/RolloutAgent.cpp
+++ b/libs/sidecar/src/RolloutAgent.cpp
@@ -74,10 +74,9 @@
 }
 
 void
-RolloutAgent::OnEvidence(const std::string& aNode,
-                         const EvidenceMessage& aMessage)
+RolloutAgent::OnEvidence(const EvidenceMessage& aMessage)
 {
-  mBook.Merge(aNode, aMessage.mLifetime, aMessage.mCounts);
+  mBook.Merge(aMessage.mNode, aMessage.mLifetime, aMessage.mCounts);
 }
 
 void
@@ -108,7 +107,7 @@
                    std::uint64_t aLifetime,
                    Millis aNow)
 {
-  EvidenceMessage news{ .mLifetime = aLifetime };
+  EvidenceMessage news{ .mNode = aNode, .mLifetime = aLifetime };
   for (auto& [service, rollout] : mRollouts) {
     if (rollout.mUnwritten) {
       WriteRollback(rollout, aNow);
@@ -126,7 +125,7 @@
   }
   if (!news.mCounts.empty()) {
     mBook.Merge(aNode, aLifetime, news.mCounts);
-    mParts.mBroadcast(news);
+    mParts.mTellEvidence(news);
   }
 }
 
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -17,8 +17,12 @@
 constexpr Millis kFarLoadPeriod{ 1000 };
 constexpr Millis kRolloutPeriod{ 200 };
 /** A node that another one is ahead of for this long asks it for the desired
- *  state; usually the store is faster. */
-constexpr Millis kStateDelay{ 600 };
+ *  state; usually the store or the followers of the store are faster. Bytes
+ *  from other data centres are paid, so those are asked later. */
+constexpr Millis kNearStateDelay{ 500 };
+constexpr Millis kFarStateDelay{ 1500 };
+/** Between questions, while an answer may be on its way. */
+constexpr Millis kAskPause{ 700 };
 /** After the signal to stop, callers still come for this long: they are sent
  *  elsewhere after two readiness questions, a second apart. */
 constexpr Millis kStopAccepting{ 3000 };
@@ -46,15 +50,13 @@
             OnMessage(aLink, aNode, std::move(aMessage));
           },
         .mLost = [this](LinkId aLink,
-                        const std::string&) { OnLinkLost(aLink); },
+                        bool aWasOpen) { OnLinkLost(aLink, aWasOpen); },
         .mOwnRecord = [this] { return OwnRecord(); } },
       mLog,
       mRandom)
   , mTargets(aSettings.mDataCentre,
              aSettings.mRegion,
-             [this](const std::string& aNode) {
-               return aNode == mSettings.mName || mMesh.Reachable(aNode);
-             })
+             [this](const std::string& aNode) { return Usable(aNode); })
   , mRollouts(
       { .mTargets = mTargets,
         .mLog = mLog,
@@ -66,7 +68,11 @@
             mSync.WriteProgress(aProgress, mPort.EncodeRollout(aProgress));
           },
         .mBroadcast =
-          [this](const PeerMessage& aMessage) { mMesh.Broadcast(aMessage); } })
+          [this](const PeerMessage& aMessage) { mMesh.Broadcast(aMessage); },
+        .mTellEvidence =
+          [this](const EvidenceMessage& aMessage) {
+            OnEvidence(mSettings.mName, aMessage);
+          } })
   , mGate(aLoop,
           { .mNode = aSettings.mName,
             .mAddress = aSettings.mTargetAddress,
@@ -98,24 +104,26 @@
                     [this](const std::string& aService) {
                       return mRollouts.Draw(aService);
                     } })
-  , mSync(aLoop,
-          { .mNode = aSettings.mName },
-          aStore,
-          aPort.Operator(),
-          { .mOrder = [this](const Row& aRow) { OnOrder(aRow); },
-            .mRecord = [this](const NodeRecord& aRecord) { OnRecord(aRecord); },
-            .mProgress =
-              [this](const gateway::RolloutProgress& aProgress) {
-                mRollouts.OnWritten(aProgress);
-              },
-            .mOwnRecord = [this] { return OwnRecord(); },
-            .mOwnSuperseded =
-              [this](const NodeRecord& aRecord) {
-                OnOwnRecordElsewhere(aRecord);
-              } },
-          mLog,
-          mMetrics,
-          mRandom)
+  , mSync(
+      aLoop,
+      { .mNode = aSettings.mName },
+      aStore,
+      aPort.Operator(),
+      { .mOrder = [this](const Row& aOld,
+                         const Row& aRow) { OnOrder(aOld, aRow); },
+        .mRecord = [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
+        .mProgress =
+          [this](const gateway::RolloutProgress& aProgress) {
+            mRollouts.OnWritten(aProgress);
+          },
+        .mOwnRecord = [this] { return OwnRecord(); },
+        .mOwnSuperseded =
+          [this](const NodeRecord& aRecord) {
+            OnOwnRecordElsewhere(aRecord);
+          } },
+      mLog,
+      mMetrics,
+      mRandom)
   , mTick(aLoop, [this] { Tick(); })
   , mLastTick(SteadyNow())
   , mLifetime(static_cast<std::uint64_t>(WallNow().Whole()))
@@ -135,9 +143,9 @@
                 { "region", mSettings.mRegion },
                 { "service", mSettings.mService },
                 { "lifetime", mLifetime } });
-  OnRecord(OwnRecord());
+  mStarted = SteadyNow();
+  OnRecord(OwnRecord(), mSettings.mName);
   mSync.Start();
-  mSync.Publish();
   mTick.StartRepeating(kTickPeriod);
   return {};
 }
@@ -205,7 +213,7 @@
 Sidecar::Impl::PublishRecord()
 {
   ++mSequence;
-  OnRecord(OwnRecord());
+  OnRecord(OwnRecord(), mSettings.mName);
   mMesh.Broadcast(RecordMessage{ OwnRecord() });
   mSync.Publish();
 }
@@ -222,7 +230,7 @@
 }
 
 void
-Sidecar::Impl::OnRecord(const NodeRecord& aRecord)
+Sidecar::Impl::OnRecord(const NodeRecord& aRecord, const std::string& aFrom)
 {
   if (!mTargets.Merge(aRecord)) {
     return;
@@ -230,10 +238,12 @@
   if (aRecord.mNode == mSettings.mName) {
     return;
   }
-  if (aRecord.mLeaving) {
-    mMesh.Unwant(aRecord.mNode);
-  } else {
-    mMesh.Want(aRecord.mNode, aRecord.mPeerAddress);
+  UpdateLinks();
+  // Only some nodes have links to other data centres; they pass the news on.
+  if (!IsNear(aRecord.mNode) && !IsNear(aFrom)) {
+    SendNear(RecordMessage{ aRecord });
+  } else if (IsNear(aRecord.mNode) && Speaks()) {
+    SendToOtherSpeakers(RecordMessage{ aRecord }, true);
   }
   mLog.Change(
     "mesh",
@@ -248,11 +258,14 @@
 }
 
 void
-Sidecar::Impl::OnOrder(const Row& aRow)
+Sidecar::Impl::OnOrder(const Row& aOld, const Row& aRow)
 {
   const OperatorNames& names = mPort.Operator();
+  if (!mOrderFromPeer) {
+    TellOrder(aOld, aRow);
+  }
   if (aRow.mKey == names.mDesiredStateKey) {
-    ApplyState(aRow.mValue, "store");
+    ApplyState(aRow.mValue, mOrderFromPeer ? "peer" : "store");
     return;
   }
   if (!aRow.mKey.starts_with(names.mRolloutPrefix) || aRow.mDeleted) {
@@ -287,7 +300,6 @@
     return false;
   }
   mTable = std::make_shared<gateway::RoutingTable>(*state);
-  mStateText = aText;
   mStateSince = SteadyNow();
   mDispatcher.SetState(mTable);
   const gateway::RequestLimits& limits = state->mLimits;
@@ -329,7 +341,7 @@
       OnOwnRecordElsewhere(record->mRecord);
       return;
     }
-    OnRecord(record->mRecord);
+    OnRecord(record->mRecord, aNode);
     const NodeRecord* const known = mTargets.Nodes().Find(aNode);
     if (known != nullptr && record->mRecord.mNode == aNode &&
         known->Supersedes(record->mRecord)) {
@@ -338,16 +350,16 @@
     }
   } else if (const auto* const evidence =
                std::get_if<EvidenceMessage>(&aMessage)) {
-    mRollouts.OnEvidence(aNode, *evidence);
+    OnEvidence(aNode, *evidence);
+  } else if (const auto* const loads = std::get_if<LoadsMessage>(&aMessage)) {
+    OnLoads(aNode, *loads);
   } else if (const auto* const progress =
                std::get_if<ProgressMessage>(&aMessage)) {
     mRollouts.OnProgress(progress->mProgress);
   } else if (std::holds_alternative<StateQuestion>(aMessage)) {
-    if (mTable) {
-      mMesh.Reply(aLink, StateMessage{ .mText = mStateText });
-    }
-  } else if (const auto* const state = std::get_if<StateMessage>(&aMessage)) {
-    ApplyState(state->mText, "peer");
+    TellOrders(aLink);
+  } else if (const auto* const order = std::get_if<OrderMessage>(&aMessage)) {
+    OnOrderOfPeer(*order);
   }
 }
 
@@ -377,7 +389,7 @@
 }
 
 void
-Sidecar::Impl::OnLinkLost(LinkId aLink)
+Sidecar::Impl::OnLinkLost(LinkId aLink, bool aWasOpen)
 {
   std::vector<TargetGate::CallId> calls;
   const auto first = mPeerCalls.lower_bound({ aLink, 0 });
@@ -391,7 +403,7 @@
   for (const TargetGate::CallId id : calls) {
     mGate.Cancel(id);
   }
-  mDispatcher.OnLinkLost(aLink);
+  mDispatcher.OnLinkLost(aLink, aWasOpen);
 }
 
 void
@@ -400,15 +412,26 @@
                       const LoadMessage& aMessage)
 {
   mTargets.OnLoad(aNode, aMessage.mLoad);
+  if (aMessage.mFollowing && IsNear(aNode)) {
+    mFollowers.insert(aNode);
+  } else {
+    mFollowers.erase(aNode);
+  }
   const std::uint64_t own = mTable ? mTable->State().mVersion : 0;
   if (aMessage.mStateVersion <= own) {
     return;
   }
   const Millis now = SteadyNow();
-  if (mBehindSince.mCount == 0) {
+  if (own >= mBehindOf) {
+    // Not the version that this node was behind of before.
+    mBehindOf = aMessage.mStateVersion;
     mBehindSince = now;
-  } else if (now - mBehindSince > kStateDelay) {
-    mBehindSince = {};
+  }
+  const Millis delay = own == 0        ? Millis{}
+                       : IsNear(aNode) ? kNearStateDelay
+                                       : kFarStateDelay;
+  if (now - mBehindSince >= delay && now - mAskedAt >= kAskPause) {
+    mAskedAt = now;
     mMesh.Reply(aLink, StateQuestion{});
   }
 }
@@ -457,7 +480,9 @@
 bool
 Sidecar::Impl::Ready() const
 {
-  return !mStopping && mTable && mSync.Loaded();
+  // While the store is away, the neighbours tell what it would.
+  const bool knowsTargets = mSync.Loaded() || mMesh.LinkCount() > 0;
+  return !mStopping && mTable && knowsTargets;
 }
 
 std::size_t
@@ -468,8 +493,9 @@
   };
   const std::size_t own = order(mSettings.mName);
   std::size_t rank = 0;
-  for (const std::string& node : mMesh.Linked()) {
-    rank += order(node) < own && mMesh.Reachable(node) ? 1 : 0;
+  for (const auto& [node, record] : mTargets.Nodes().All()) {
+    const bool alive = !record.mLeaving && Usable(node);
+    rank += alive && order(node) < own ? 1 : 0;
   }
   return rank;
 }
@@ -478,7 +504,8 @@
 Sidecar::Impl::TellLoad(Millis aNow)
 {
   LoadMessage message{ .mLoad = mGate.Load(),
-                       .mStateVersion = mTable ? mTable->State().mVersion : 0 };
+                       .mStateVersion = mTable ? mTable->State().mVersion : 0,
+                       .mFollowing = mSync.Following() };
   mTargets.OnLoad(mSettings.mName, message.mLoad);
   const bool all = aNow - mLastFarLoad >= kFarLoadPeriod;
   if (all) {
@@ -491,12 +518,7 @@
     return;
   }
   mToldLoad = message;
-  for (const std::string& node : mMesh.Linked()) {
-    const NodeRecord* const record = mTargets.Nodes().Find(node);
-    if (record != nullptr && record->mDataCentre == mSettings.mDataCentre) {
-      mMesh.Send(node, message);
-    }
-  }
+  SendNear(message);
 }
 
 void
@@ -509,7 +531,9 @@
   mTargets.OnLoad(mSettings.mName, mGate.Load());
   if (now - mLastLoad >= kLoadPeriod) {
     mLastLoad = now;
+    DecideFollowing(now);
     TellLoad(now);
+    TellLoads(now);
     const gateway::TargetLoad load = mGate.Load();
     mMetrics.mRunning.Set(load.mRunning);
     mMetrics.mWaiting.Set(load.mWaiting);
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include <base/Random.h>
@@ -48,9 +49,18 @@
   Millis mStateSince;
   /** The desired state in force. */
   std::shared_ptr<gateway::RoutingTable> mTable;
-  /** As the operator wrote it, for nodes that the store does not reach. */
-  std::string mStateText;
+  /** A version of the desired state that another node had first, and since
+   *  when this node has been behind it. */
+  std::uint64_t mBehindOf = 0;
   Millis mBehindSince;
+  Millis mAskedAt;
+  Millis mStarted;
+  Millis mLastNearLoads;
+  Millis mLastFarLoads;
+  /** Nodes of the own data centre that follow the store, as they said. */
+  std::set<std::string> mFollowers;
+  /** Whether a row of the operator comes from a neighbour. */
+  bool mOrderFromPeer = false;
   std::uint64_t mLifetime;
   std::uint64_t mSequence = 1;
   std::optional<LoadMessage> mToldLoad;
@@ -69,14 +79,18 @@
   Expected<void> Listen();
   [[nodiscard]] gateway::NodeRecord OwnRecord() const;
   void PublishRecord();
-  void OnRecord(const gateway::NodeRecord& aRecord);
+  /** Takes in the record of a node.
+   *  @param aFrom the node that told it, or "" for the store. */
+  void OnRecord(const gateway::NodeRecord& aRecord, const std::string& aFrom);
   void OnOwnRecordElsewhere(const gateway::NodeRecord& aRecord);
-  void OnOrder(const Row& aRow);
+  void OnOrder(const Row& aOld, const Row& aRow);
+  void OnOrderOfPeer(const OrderMessage& aMessage);
+  void TellOrder(const Row& aOld, const Row& aRow);
   /** @return whether the state is newer and was brought into force. */
   bool ApplyState(const std::string& aText, const char* aSource);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
-  void OnLinkLost(LinkId aLink);
+  void OnLinkLost(LinkId aLink, bool aWasOpen);
   void OnLoad(LinkId aLink,
               const std::string& aNode,
               const LoadMessage& aMessage);
@@ -85,6 +99,20 @@
   [[nodiscard]] bool Ready() const;
   void Tick();
   void TellLoad(Millis aNow);
+  void TellLoads(Millis aNow);
+  void OnLoads(const std::string& aFrom, const LoadsMessage& aMessage);
+  void OnEvidence(const std::string& aFrom, const EvidenceMessage& aMessage);
+  void TellOrders(LinkId aLink);
+  void DecideFollowing(Millis aNow);
+  void UpdateLinks();
+  [[nodiscard]] bool Usable(const std::string& aNode) const;
+  [[nodiscard]] bool IsNear(const std::string& aNode) const;
+  /** @return the node that speaks for its data centre here: the first by name
+   *    of those reachable from this node. */
+  [[nodiscard]] std::string SpeakerOf(const std::string& aDataCentre) const;
+  [[nodiscard]] bool Speaks() const;
+  void SendNear(const PeerMessage& aMessage);
+  void SendToOtherSpeakers(const PeerMessage& aMessage, bool aFarToo);
   [[nodiscard]] std::size_t RankFor(const std::string& aService) const;
   void ContinueStop(Millis aNow);
 };
--- /dev/null
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -0,0 +1,238 @@
+#include "SidecarImpl.h"
+
+#include <algorithm>
+
+namespace papayaway::sidecar {
+
+using gateway::NodeRecord;
+
+namespace {
+
+/** Nodes of each data centre that keep links to other data centres. Three
+ *  bear two that fail at the same time. */
+constexpr std::size_t kLinkingNodes = 3;
+/** Nodes of each data centre that follow the store: the second one bears a
+ *  freeze of the first, whose silence shows only after 1.6 s. */
+constexpr std::size_t kFollowers = 2;
+/** A node that is not among the first by name lets others begin to follow. */
+constexpr Millis kFirstFollowDelay{ 300 };
+constexpr Millis kLaterFollowDelay{ 1200 };
+/** How often loads are told to other data centres, near and far. */
+constexpr Millis kNearLoadsPeriod{ 500 };
+constexpr Millis kFarLoadsPeriod{ 1000 };
+/** Older news of a target elsewhere is too old to send calls there. */
+constexpr Millis kFreshLoad{ 3500 };
+
+} // namespace
+
+bool
+Sidecar::Impl::IsNear(const std::string& aNode) const
+{
+  const NodeRecord* const record = mTargets.Nodes().Find(aNode);
+  return record != nullptr && record->mDataCentre == mSettings.mDataCentre;
+}
+
+bool
+Sidecar::Impl::Usable(const std::string& aNode) const
+{
+  if (aNode == mSettings.mName || mMesh.Reachable(aNode)) {
+    return true;
+  }
+  // Links to other data centres are opened when a call needs them.
+  return !IsNear(aNode) && !mMesh.Failing(aNode) &&
+         mTargets.LoadIsFresh(aNode, kFreshLoad);
+}
+
+void
+Sidecar::Impl::UpdateLinks()
+{
+  // The first nodes of each data centre by name, leaving ones apart.
+  std::map<std::string, std::vector<const NodeRecord*>> first;
+  std::map<std::string, std::string> keep;
+  bool links = false;
+  for (const auto& [node, record] : mTargets.Nodes().All()) {
+    if (record.mLeaving) {
+      continue;
+    }
+    auto& nodes = first[record.mDataCentre];
+    if (nodes.size() < kLinkingNodes) {
+      nodes.push_back(&record);
+      links = links || node == mSettings.mName;
+    }
+    if (record.mDataCentre == mSettings.mDataCentre &&
+        node != mSettings.mName) {
+      keep.emplace(node, record.mPeerAddress);
+    }
+  }
+  if (links) {
+    for (const auto& [dataCentre, nodes] : first) {
+      for (const NodeRecord* const record : nodes) {
+        if (record->mNode != mSettings.mName) {
+          keep.emplace(record->mNode, record->mPeerAddress);
+        }
+      }
+    }
+  }
+  mMesh.Keep(keep);
+}
+
+std::string
+Sidecar::Impl::SpeakerOf(const std::string& aDataCentre) const
+{
+  for (const auto& [node, record] : mTargets.Nodes().All()) {
+    if (record.mDataCentre == aDataCentre && !record.mLeaving &&
+        (node == mSettings.mName || mMesh.Reachable(node))) {
+      return node;
+    }
+  }
+  return {};
+}
+
+bool
+Sidecar::Impl::Speaks() const
+{
+  return SpeakerOf(mSettings.mDataCentre) == mSettings.mName;
+}
+
+void
+Sidecar::Impl::SendNear(const PeerMessage& aMessage)
+{
+  for (const std::string& node : mMesh.Linked()) {
+    if (IsNear(node)) {
+      mMesh.Send(node, aMessage);
+    }
+  }
+}
+
+void
+Sidecar::Impl::SendToOtherSpeakers(const PeerMessage& aMessage, bool aFarToo)
+{
+  std::set<std::string> dataCentres;
+  for (const auto& [node, record] : mTargets.Nodes().All()) {
+    if (record.mDataCentre != mSettings.mDataCentre &&
+        (aFarToo || record.mRegion == mSettings.mRegion)) {
+      dataCentres.insert(record.mDataCentre);
+    }
+  }
+  for (const std::string& dataCentre : dataCentres) {
+    const std::string speaker = SpeakerOf(dataCentre);
+    if (!speaker.empty()) {
+      mMesh.Send(speaker, aMessage);
+    }
+  }
+}
+
+void
+Sidecar::Impl::TellLoads(Millis aNow)
+{
+  if (aNow - mLastNearLoads < kNearLoadsPeriod || !Speaks()) {
+    return;
+  }
+  mLastNearLoads = aNow;
+  const bool far = aNow - mLastFarLoads >= kFarLoadsPeriod;
+  if (far) {
+    mLastFarLoads = aNow;
+  }
+  SendToOtherSpeakers(LoadsMessage{ .mLoads = mTargets.OwnLoads() }, far);
+}
+
+void
+Sidecar::Impl::OnLoads(const std::string& aFrom, const LoadsMessage& aMessage)
+{
+  for (const auto& [node, load] : aMessage.mLoads) {
+    if (!IsNear(node)) {
+      mTargets.OnLoad(node, load);
+    }
+  }
+  if (!IsNear(aFrom)) {
+    SendNear(aMessage);
+  }
+}
+
+void
+Sidecar::Impl::OnEvidence(const std::string& aFrom,
+                          const EvidenceMessage& aMessage)
+{
+  mRollouts.OnEvidence(aMessage);
+  if (aFrom == mSettings.mName || !IsNear(aFrom)) {
+    SendNear(aMessage);
+  }
+  if (IsNear(aMessage.mNode) && Speaks()) {
+    SendToOtherSpeakers(aMessage, true);
+  }
+}
+
+void
+Sidecar::Impl::TellOrder(const Row& aOld, const Row& aRow)
+{
+  OrderMessage message{ .mKey = aRow.mKey, .mVersion = aRow.mVersion };
+  // Neighbours that have another version than the old one ask for the whole.
+  if (aOld.mVersion != 0) {
+    message.mBase = aOld.mVersion;
+    message.mDelta = gateway::MakeDelta(aOld.mValue, aRow.mValue);
+  } else {
+    message.mValue = aRow.mValue;
+  }
+  SendNear(message);
+}
+
+void
+Sidecar::Impl::OnOrderOfPeer(const OrderMessage& aMessage)
+{
+  Row row{ .mTable = mPort.Operator().mOrders,
+           .mKey = aMessage.mKey,
+           .mValue = aMessage.mValue,
+           .mVersion = aMessage.mVersion };
+  if (aMessage.mBase != 0) {
+    const auto known = mSync.Orders().find(aMessage.mKey);
+    if (known == mSync.Orders().end() ||
+        known->second.mVersion != aMessage.mBase) {
+      return;
+    }
+    auto value = gateway::ApplyDelta(known->second.mValue, aMessage.mDelta);
+    if (!value) {
+      mMetrics.mBadInput.Increment();
+      mLog.Change("state",
+                  "bad_delta",
+                  { { "key", aMessage.mKey },
+                    { "base", aMessage.mBase },
+                    { "reason", value.error().mMessage } });
+      return;
+    }
+    row.mValue = std::move(*value);
+  }
+  mOrderFromPeer = true;
+  mSync.TakeOrder(row);
+  mOrderFromPeer = false;
+}
+
+void
+Sidecar::Impl::TellOrders(LinkId aLink)
+{
+  for (const auto& [key, row] : mSync.Orders()) {
+    mMesh.Reply(aLink,
+                OrderMessage{ .mKey = key,
+                              .mValue = row.mValue,
+                              .mVersion = row.mVersion });
+  }
+}
+
+void
+Sidecar::Impl::DecideFollowing(Millis aNow)
+{
+  std::size_t before = 0;
+  std::size_t followers = 0;
+  for (const auto& [node, record] : mTargets.Nodes().All()) {
+    if (record.mDataCentre != mSettings.mDataCentre || record.mLeaving ||
+        node >= mSettings.mName) {
+      continue;
+    }
+    ++before;
+    followers += mFollowers.contains(node) && mMesh.Reachable(node) ? 1 : 0;
+  }
+  const Millis delay =
+    before < kFollowers ? kFirstFollowDelay : kLaterFollowDelay;
+  mSync.SetFollowing(followers < kFollowers && aNow - mStarted >= delay);
+}
+
+} // namespace papayaway::sidecar
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -17,6 +17,10 @@
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kRolloutPrefix = "rollout/";
 
+/** Nodes that do not follow the store read the nodes' table this many times
+ *  more rarely. */
+constexpr double kRareRepair = 4;
+
 const char*
 OutcomeOf(const tl::expected<RowList, StoreError>& aResult)
 {
@@ -53,14 +57,7 @@
   , mLog(aLog)
   , mMetrics(aMetrics)
   , mRandom(aRandom)
-  , mOrdersTimer(aLoop,
-                 [this] {
-                   if (mOrdersRead) {
-                     FollowOrders();
-                   } else {
-                     ReadOrders();
-                   }
-                 })
+  , mOrdersTimer(aLoop, [this] { AskOrders(); })
   , mNodesTimer(aLoop, [this] { ReadNodes(); })
   , mRecordTimer(aLoop, [this] { WriteRecord(); })
 {
@@ -71,8 +68,36 @@
 void
 StoreSync::Start()
 {
-  ReadOrders();
-  ReadNodes();
+  // Written first and read afterwards: of two nodes that start at the same
+  // time, at least one then sees the other.
+  mRecordChanged = true;
+  WriteRecord();
+}
+
+void
+StoreSync::SetFollowing(bool aFollowing)
+{
+  if (mFollowing == aFollowing) {
+    return;
+  }
+  mFollowing = aFollowing;
+  mFollowWorks = false;
+  mLog.Change("store", "following", { { "follows", aFollowing } });
+  AskOrders();
+}
+
+void
+StoreSync::AskOrders()
+{
+  if (!mFollowing || mAsking) {
+    return;
+  }
+  mAsking = true;
+  if (mOrdersRead) {
+    FollowOrders();
+  } else {
+    ReadOrders();
+  }
 }
 
 Millis
@@ -110,16 +135,22 @@
   }
 }
 
+void
+StoreSync::TakeOrder(const Row& aRow)
+{
+  Row& newest = mOrders[aRow.mKey];
+  if (aRow.mVersion > newest.mVersion) {
+    const Row old = std::exchange(newest, aRow);
+    mHandlers.mOrder(old, aRow);
+  }
+}
+
 void
 StoreSync::TakeOrders(const RowList& aList)
 {
   mOrdersVersion = std::max(mOrdersVersion, aList.mVersion);
   for (const Row& row : aList.mRows) {
-    std::uint64_t& newest = mOrderVersions[row.mKey];
-    if (row.mVersion > newest) {
-      newest = row.mVersion;
-      mHandlers.mOrder(row);
-    }
+    TakeOrder(row);
   }
 }
 
@@ -128,13 +159,15 @@
 {
   mStore.Read(mNames.mOrders, [this](Result aResult) {
     OnAnswer("read_orders", aResult);
+    mAsking = false;
+    mFollowWorks = aResult.has_value();
     if (!aResult) {
       mOrdersTimer.StartOnce(RetryPause());
       return;
     }
     mOrdersRead = true;
     TakeOrders(*aResult);
-    FollowOrders();
+    AskOrders();
   });
 }
 
@@ -146,15 +179,19 @@
                 mOptions.mFollowWait,
                 [this](Result aResult) {
                   OnAnswer("follow_orders", aResult);
+                  mAsking = false;
                   if (!aResult) {
                     // What was missed is read whole.
                     if (aResult.error().mFailure == StoreFailure::HistoryGone) {
-                      ReadOrders();
+                      mOrdersRead = false;
+                      AskOrders();
                     } else {
+                      mFollowWorks = false;
                       mOrdersTimer.StartOnce(RetryPause());
                     }
                     return;
                   }
+                  mFollowWorks = true;
                   TakeOrders(*aResult);
                   mOrdersTimer.StartOnce(
                     aResult->mRows.empty() ? Millis{ 1 } : mOptions.mBatch);
@@ -209,12 +246,23 @@
       return;
     }
     mNodesRead = true;
+    const std::string own = std::string(kNodePrefix) + mOptions.mNode;
+    const bool present =
+      std::any_of(aResult->mRows.begin(),
+                  aResult->mRows.end(),
+                  [&](const Row& aRow) { return aRow.mKey == own; });
+    if (!present && mRowVersions[own] != 0) {
+      // Another node took this one for gone and removed its row.
+      mRowVersions[own] = 0;
+      mRecordChanged = true;
+    }
     TakeNodes(*aResult);
     if (mRecordChanged) {
       WriteRecord();
     }
     mNodesTimer.StartOnce(mOptions.mRepairPeriod *
-                          (0.75 + 0.5 * UniformFraction(mRandom)));
+                          ((mFollowing ? 1.0 : kRareRepair) *
+                           (0.75 + 0.5 * UniformFraction(mRandom))));
   });
 }
 
@@ -222,16 +270,13 @@
 StoreSync::Publish()
 {
   mRecordChanged = true;
-  if (mNodesRead) {
-    WriteRecord();
-  }
+  WriteRecord();
 }
 
 void
 StoreSync::WriteRecord()
 {
-  // The table is read first: the condition needs the version of the row.
-  if (mWriting || !mRecordChanged || !mNodesRead) {
+  if (mWriting || !mRecordChanged) {
     return;
   }
   mWriting = true;
@@ -248,6 +293,10 @@
     mWriting = false;
     if (aResult) {
       mRowVersions[key] = std::max(mRowVersions[key], aResult->mVersion);
+      if (!mReadSinceWrite) {
+        mReadSinceWrite = true;
+        ReadNodes();
+      }
       if (mRecordChanged) {
         WriteRecord();
       }
--- a/libs/sidecar/src/TargetDirectory.cpp
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -64,7 +64,28 @@
 TargetDirectory::OnLoad(const std::string& aNode,
                         const gateway::TargetLoad& aLoad)
 {
-  mLoads[aNode] = { .mLoad = aLoad };
+  mLoads[aNode] = { .mLoad = aLoad, .mToldAt = SteadyNow() };
+}
+
+std::map<std::string, gateway::TargetLoad>
+TargetDirectory::OwnLoads() const
+{
+  std::map<std::string, gateway::TargetLoad> loads;
+  for (const auto& [node, record] : mNodes.All()) {
+    const auto load = mLoads.find(node);
+    if (record.mDataCentre == mDataCentre && load != mLoads.end() &&
+        record.mTarget && !record.mLeaving && mUsable(node)) {
+      loads.emplace(node, load->second.mLoad);
+    }
+  }
+  return loads;
+}
+
+bool
+TargetDirectory::LoadIsFresh(const std::string& aNode, Millis aAge) const
+{
+  const auto load = mLoads.find(aNode);
+  return load != mLoads.end() && SteadyNow() - load->second.mToldAt < aAge;
 }
 
 void
