--- a/libs/gateway/include/gateway/RepeatBudget.h
+++ b/libs/gateway/include/gateway/RepeatBudget.h
@@ -11,14 +11,14 @@
 struct RepeatBudgetOptions
 {
   /** Repeats for each request of the service, at one node. */
-  double mShare = 0.1;
+  double mShare = 0.08;
   /** Repeats that a node may make without requests, so that rare requests
    *  are repeated too. All nodes together stay below the fleet's slack. */
-  double mReserve = 2;
+  double mReserve = 1;
   /** How fast the reserve comes back. */
   Millis mReserveRefill = Seconds(10);
   /** Repeats saved up by requests at most. */
-  double mMaxSaved = 10;
+  double mMaxSaved = 3;
 
   bool operator==(const RepeatBudgetOptions&) const = default;
 };
--- a/libs/sidecar/include/sidecar/Sidecar.h
+++ b/libs/sidecar/include/sidecar/Sidecar.h
@@ -17,10 +17,12 @@
 class Sidecar
 {
 public:
+  /** @param aLogDescriptor where the log lines go; standard output. */
   Sidecar(EventLoop& aLoop,
           const SidecarSettings& aSettings,
           const PlatformPort& aPort,
-          RowStore& aStore);
+          RowStore& aStore,
+          int aLogDescriptor = 1);
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -16,6 +16,9 @@
 /** ...and to all nodes, also unchanged, which shows that the link works. */
 constexpr Millis kFarLoadPeriod{ 1000 };
 constexpr Millis kRolloutPeriod{ 200 };
+/** The part of the fleet's repeat share that nodes use up by themselves. The
+ *  rest is for the calls that repeated requests make, which count too. */
+constexpr double kOwnRepeatPart = 0.4;
 /** A node that another one is ahead of for this long asks it for the desired
  *  state; usually the store or the followers of the store are faster. Bytes
  *  from other data centres are paid, so those are asked later. */
@@ -36,12 +39,15 @@
 Sidecar::Impl::Impl(EventLoop& aLoop,
                     const SidecarSettings& aSettings,
                     const PlatformPort& aPort,
-                    RowStore& aStore)
+                    RowStore& aStore,
+                    int aLogDescriptor)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mPort(aPort)
   , mLog(aLoop,
-         { .mNode = aSettings.mName, .mDataCentre = aSettings.mDataCentre })
+         { .mDescriptor = aLogDescriptor,
+           .mNode = aSettings.mName,
+           .mDataCentre = aSettings.mDataCentre })
   , mMesh(
       aLoop,
       { .mNode = aSettings.mName, .mAddress = aSettings.mPeerAddress },
@@ -92,7 +98,7 @@
   , mDispatcher(aLoop,
                 { .mNode = aSettings.mName,
                   .mService = aSettings.mService,
-                  .mRepeats = { .mShare = aSettings.mRepeatShare / 2 } },
+                  .mRepeats = { .mShare = aSettings.mRepeatShare * kOwnRepeatPart } },
                 { .mPort = aPort,
                   .mMesh = mMesh,
                   .mTargets = mTargets,
@@ -575,8 +581,10 @@
 Sidecar::Sidecar(EventLoop& aLoop,
                  const SidecarSettings& aSettings,
                  const PlatformPort& aPort,
-                 RowStore& aStore)
-  : mImpl(std::make_unique<Impl>(aLoop, aSettings, aPort, aStore))
+                 RowStore& aStore,
+                 int aLogDescriptor)
+  : mImpl(
+      std::make_unique<Impl>(aLoop, aSettings, aPort, aStore, aLogDescriptor))
 {
 }
 
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -73,7 +73,8 @@
   Impl(EventLoop& aLoop,
        const SidecarSettings& aSettings,
        const PlatformPort& aPort,
-       RowStore& aStore);
+       RowStore& aStore,
+       int aLogDescriptor);
 
   Expected<void> Start();
   Expected<void> Listen();
