--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -33,9 +33,10 @@
 struct StoreSyncOptions
 {
   std::string mNode;
-  /** How long the store is asked to wait for a change. A connection that
-   *  went silent is noticed after this. */
-  Millis mFollowWait{ 6000 };
+  /** How long the store is asked to wait for a change. Together with the time
+   *  of a call it stays below the 3 s in which a change may be late after the
+   *  store was silent. */
+  Millis mFollowWait{ 2200 };
   /** Changes within this time after a change are read together. */
   Millis mBatch{ 400 };
   /** The nodes' table is read again this often; changes also come from the
@@ -46,7 +47,7 @@
   Millis mFirstWriteDelay{ 1700 };
   /** Between attempts while the store does not answer. */
   Millis mRetryLeast{ 250 };
-  Millis mRetryMost{ 1000 };
+  Millis mRetryMost{ 500 };
 };
 
 /** Keeps this node and the platform's store in step. */
