--- a/libs/http/src/TcpStream.cpp
+++ b/libs/http/src/TcpStream.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int kListenBacklog = 1024;
 constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
 /** Accepted at once before other events of the loop get their turn. */
 constexpr int kAcceptBatch = 32;
@@ -262,25 +261,12 @@
                     const std::string& aAddress,
                     std::function<void(std::shared_ptr<TcpStream>)> aAccepted)
 {
-  Expected<sockaddr_in> address = ParseAddress(aAddress);
-  if (!address) {
-    return tl::unexpected(address.error());
+  Expected<ListeningSocket> listening = ListenOn(aAddress);
+  if (!listening) {
+    return tl::unexpected(listening.error());
   }
-  const int descriptor =
-    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  socklen_t length = sizeof(*address);
-  if (bind(descriptor, reinterpret_cast<sockaddr*>(&*address), length) != 0 ||
-      listen(descriptor, kListenBacklog) != 0) {
-    const std::string reason = std::strerror(errno);
-    close(descriptor);
-    return Fail(ErrorCode::Unavailable,
-                "can't listen on " + aAddress + ": " + reason);
-  }
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&*address), &length);
   return std::make_unique<TcpListener>(
-    aLoop, descriptor, FormatAddress(*address), std::move(aAccepted));
+    aLoop, listening->mDescriptor, listening->mAddress, std::move(aAccepted));
 }
 
 void
--- a/libs/net/include/net/SocketAddress.h
+++ b/libs/net/include/net/SocketAddress.h
@@ -16,4 +16,17 @@
 /** @return "IPv4:port". */
 std::string FormatAddress(const sockaddr_in& aAddress);
 
+/** A non-blocking socket that listens. */
+struct ListeningSocket
+{
+  int mDescriptor = -1;
+  /** "IPv4:port" as bound. */
+  std::string mAddress;
+};
+
+/** Binds "IPv4:port", where port 0 takes a free one, and listens. The caller
+ *  owns the descriptor.
+ *  @return the socket, or an error that names the address. */
+Expected<ListeningSocket> ListenOn(const std::string& aAddress);
+
 } // namespace papayaway
--- a/libs/net/src/PeerSocket.cpp
+++ b/libs/net/src/PeerSocket.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr int kListenBacklog = 1024;
 constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
 /** Accepted connections whose handshake is not done yet. */
 constexpr std::size_t kMaxPendingHandshakes = 512;
@@ -344,29 +343,16 @@
                      const std::string& aAddress,
                      PeerListenerHandlers aHandlers)
 {
-  Expected<sockaddr_in> address = ParseAddress(aAddress);
-  if (!address) {
-    return tl::unexpected(address.error());
-  }
-  const int descriptor =
-    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  socklen_t length = sizeof(*address);
-  if (bind(descriptor, reinterpret_cast<sockaddr*>(&*address), length) != 0 ||
-      listen(descriptor, kListenBacklog) != 0) {
-    const std::string reason = std::strerror(errno);
-    close(descriptor);
-    return Fail(ErrorCode::Unavailable,
-                "can't listen on " + aAddress + ": " + reason);
+  Expected<ListeningSocket> listening = ListenOn(aAddress);
+  if (!listening) {
+    return tl::unexpected(listening.error());
   }
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&*address), &length);
   auto impl = std::make_unique<Impl>(aLoop, std::move(aHandlers));
-  impl->mDescriptor = descriptor;
-  impl->mAddress = FormatAddress(*address);
+  impl->mDescriptor = listening->mDescriptor;
+  impl->mAddress = listening->mAddress;
   Impl* const raw = impl.get();
   impl->mWatcher = std::make_unique<IoWatcher>(
-    aLoop, descriptor, [raw](bool, bool) { raw->Accept(); });
+    aLoop, impl->mDescriptor, [raw](bool, bool) { raw->Accept(); });
   impl->mWatcher->Watch(true, false);
   return std::unique_ptr<PeerListener>(new PeerListener(std::move(impl)));
 }
--- a/libs/net/src/SocketAddress.cpp
+++ b/libs/net/src/SocketAddress.cpp
@@ -4,9 +4,19 @@
 #include <charconv>
 
 #include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace papayaway {
 
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+} // namespace
+
 Expected<sockaddr_in>
 ParseAddress(std::string_view aText)
 {
@@ -38,4 +48,28 @@
          std::to_string(ntohs(aAddress.sin_port));
 }
 
+Expected<ListeningSocket>
+ListenOn(const std::string& aAddress)
+{
+  Expected<sockaddr_in> address = ParseAddress(aAddress);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t length = sizeof(*address);
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&*address), length) != 0 ||
+      listen(descriptor, kListenBacklog) != 0) {
+    const std::string reason = std::strerror(errno);
+    close(descriptor);
+    return Fail(ErrorCode::Unavailable,
+                "can't listen on " + aAddress + ": " + reason);
+  }
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&*address), &length);
+  return ListeningSocket{ .mDescriptor = descriptor,
+                          .mAddress = FormatAddress(*address) };
+}
+
 } // namespace papayaway
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -128,6 +128,7 @@
   void Answer(std::uint64_t aId, CallerResponse aResponse, const char* aWhy);
   void AnswerRefused(std::uint64_t aId, const char* aReason, Millis aWait);
   void AnswerLast(std::uint64_t aId);
+  void AnswerFailed(std::uint64_t aId, int aStatus, const char* aReason);
   void Refuse(CallerExchange& aExchange,
               const std::string& aRequestId,
               int aStatus,
