Elect the followers of the store and write records in batches

While the store answered nobody, each follower told that it does not follow, so all nodes of each data centre began to follow, one after the other. At the store's return about 50 nodes of one region read the desired state over the link between regions at the same time; calls ended after 0.8 s, were repeated, and the region stayed at version 37 for 3.5 s after version 41.

Ruled out: a follower that had stopped (two others were trying), lost deltas between neighbours (none was sent), a slow store (the other region had 41 after 0.1 s).

Change: gateway::FollowerElection keeps two followers of a data centre and at most two explorers that try in turn; its tests fail with the old rule (all nodes tried). A node that starts again asks its neighbours for the desired state and reads it from the store only after 1.6 s. The record of a node is written with the first check-in and later changes in batches of 4 s, with a longer pause between attempts, which a neighbour's working follower ends. The unused removal of records is gone.

--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -42,7 +42,7 @@
   Millis mCloseAfter{ 2600 };
   /** The node with the higher name waits this long for the other one to open
    *  the link, so that a pair has one link rather than two. */
-  Millis mOpenLater{ 700 };
+  Millis mOpenLater{ 300 };
   /** Between attempts to open a link: the least and the longest pause. */
   Millis mRetryLeast{ 200 };
   Millis mRetryMost{ 2000 };
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -7,6 +7,7 @@
 
 #include <base/Error.h>
 #include <base/Millis.h>
+#include <gateway/FollowerElection.h>
 #include <gateway/NodeRecord.h>
 #include <gateway/Rollout.h>
 #include <gateway/TargetChoice.h>
@@ -93,8 +94,8 @@
   gateway::TargetLoad mLoad;
   /** The version of the desired state in force at the sender. */
   std::uint64_t mStateVersion = 0;
-  /** Whether the sender follows the operator's rows in the store. */
-  bool mFollowing = false;
+  /** How the sender gets on with the operator's rows in the store. */
+  gateway::FollowState mFollow = gateway::FollowState::Idle;
 
   bool operator==(const LoadMessage&) const = default;
 };
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -7,6 +7,7 @@
 
 #include <base/Millis.h>
 #include <base/Random.h>
+#include <gateway/FollowerElection.h>
 #include <gateway/NodeRecord.h>
 #include <gateway/Rollout.h>
 #include <net/EventLoop.h>
@@ -42,12 +43,20 @@
   /** The nodes' table is read again this often; changes also come from the
    *  nodes themselves. */
   Millis mRepairPeriod{ 15000 };
-  /** At the first start, how long the record's first write waits for the
-   *  target's check-in, so that it is written once and not twice. */
+  /** How long the record's first write waits for the target's check-in, so
+   *  that it is written once and not twice. */
   Millis mFirstWriteDelay{ 1700 };
+  /** Later changes within this time are written together. Neighbours are told
+   *  at once; the row is for nodes that start. */
+  Millis mRecordBatch{ 4000 };
   /** Between attempts while the store does not answer. */
-  Millis mRetryLeast{ 250 };
-  Millis mRetryMost{ 500 };
+  Millis mRetryLeast{ 300 };
+  Millis mRetryMost{ 800 };
+  /** Between attempts to write the record. Many nodes may have to, and
+   *  OnStoreReturned() shortens it. */
+  Millis mRecordRetryMost{ 4000 };
+  /** Nodes that learn of the store's return write within this time. */
+  Millis mReturnSpread{ 500 };
 };
 
 /** Keeps this node and the platform's store in step. */
@@ -66,7 +75,8 @@
   StoreSync& operator=(const StoreSync&) = delete;
   ~StoreSync();
 
-  /** @param aFirstStart whether the whole system starts for the first time. */
+  /** Reads the nodes' table and writes the record of this node.
+   *  @param aFirstStart whether the whole system starts for the first time. */
   void Start(bool aFirstStart);
 
   /** Chooses whether this node follows the operator's rows and reads the
@@ -74,11 +84,10 @@
    *  from its neighbours. */
   void SetFollowing(bool aFollowing);
 
-  /** @return whether it follows and the store answers. */
-  [[nodiscard]] bool Following() const
-  {
-    return mFollowing && mOrdersRead && mFollowWorks;
-  }
+  /** Reads the operator's rows once, unless they are known already. */
+  void ReadOrdersOnce();
+
+  [[nodiscard]] gateway::FollowState Follow() const;
 
   /** Takes in a row of the operator that another node read. */
   void TakeOrder(const Row& aRow);
@@ -89,17 +98,18 @@
     return mOrders;
   }
 
-  /** The record of this node has changed and is to be written. */
-  void Publish();
+  /** The record of this node has changed and is to be written.
+   *  @param aAtOnce whether the process ends soon. */
+  void Publish(bool aAtOnce);
+
+  /** A neighbour's calls are answered by the store again. */
+  void OnStoreReturned();
 
   /** Writes the next step of a rollout and the operator's status, if no other
    *  node has written one since. */
   void WriteProgress(const gateway::RolloutProgress& aProgress,
                      const std::string& aStatus);
 
-  /** Removes the record of a node that has gone for good. */
-  void RemoveRecord(const std::string& aNode);
-
   /** @return whether the nodes' table was read once. */
   [[nodiscard]] bool Loaded() const { return mNodesRead; }
 
@@ -117,7 +127,7 @@
   void TakeOrders(const RowList& aList);
   void TakeNodes(const RowList& aList);
   void OnAnswer(const char* aCall, const Result& aResult);
-  [[nodiscard]] Millis RetryPause();
+  [[nodiscard]] Millis RetryPause(Millis aMost);
 
   StoreSyncOptions mOptions;
   RowStore& mStore;
@@ -137,6 +147,8 @@
   std::map<std::string, Row> mOrders;
   bool mFollowing = false;
   bool mFollowWorks = false;
+  /** Whether the last call for the operator's rows failed. */
+  bool mFollowFails = false;
   /** A call to read or follow the operator's rows is under way. */
   bool mAsking = false;
   /** The versions of rows of the nodes' table. */
@@ -145,6 +157,12 @@
   /** Whether the nodes' table was read after the first write of the record. */
   bool mReadSinceWrite = false;
   bool mRecordChanged = false;
+  /** Whether the version of the row is known, or that there is none. */
+  bool mMayWrite = false;
+  /** Whether the first write of the record is due or was tried. */
+  bool mFirstWriteTried = false;
+  /** Whether changes of the record no longer wait for others. */
+  bool mWriteAtOnce = false;
   int mFailures = 0;
   Millis mClock;
   Millis mClockAt;
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -1,5 +1,6 @@
 #include <sidecar/PeerMessages.h>
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <vector>
@@ -265,6 +266,14 @@
            .mLoad = LoadOf(aList.at(9)) };
 }
 
+gateway::FollowState
+FollowOf(const json& aNumber)
+{
+  const int last = static_cast<int>(gateway::FollowState::Working);
+  return static_cast<gateway::FollowState>(
+    std::clamp(aNumber.get<int>(), 0, last));
+}
+
 json
 ToJson(const gateway::TextDelta& aDelta)
 {
@@ -307,7 +316,7 @@
         return { Type::Load,
                  ToJson(aValue.mLoad),
                  aValue.mStateVersion,
-                 aValue.mFollowing };
+                 static_cast<int>(aValue.mFollow) };
       } else if constexpr (std::is_same_v<Message, LoadsMessage>) {
         json list = json::array({ Type::Loads });
         for (const auto& [node, load] : aValue.mLoads) {
@@ -344,7 +353,7 @@
     case Type::Load:
       return LoadMessage{ .mLoad = LoadOf(aList.at(1)),
                           .mStateVersion = aList.at(2).get<std::uint64_t>(),
-                          .mFollowing = aList.at(3).get<bool>() };
+                          .mFollow = FollowOf(aList.at(3)) };
     case Type::Loads: {
       LoadsMessage message;
       for (std::size_t i = 1; i + 1 < aList.size(); i += 2) {
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr Millis kTickPeriod{ 50 };
+/** After its start a node waits this long for neighbours that tell it the
+ *  desired state; they need about 0.6 s after all nodes lost power. */
+constexpr Millis kReadAlone{ 1600 };
+/** Nodes that read it themselves do so at different times. */
+constexpr double kReadAloneSpread = 0.6;
 /** How often the load is told to nodes of the own data centre... */
 constexpr Millis kLoadPeriod{ 250 };
 /** ...and to all nodes, also unchanged, which shows that the link works. */
@@ -155,6 +160,8 @@
                 { "service", mSettings.mService },
                 { "lifetime", mLifetime } });
   mStarted = SteadyNow();
+  mReadAloneAt =
+    mStarted + kReadAlone * (1 + kReadAloneSpread * UniformFraction(mRandom));
   OnRecord(OwnRecord(), mSettings.mName);
   mSync.Start(mSettings.mFirstStart);
   mTick.StartRepeating(kTickPeriod);
@@ -228,7 +235,7 @@
   ++mSequence;
   OnRecord(OwnRecord(), mSettings.mName);
   mMesh.Broadcast(RecordMessage{ OwnRecord() });
-  mSync.Publish();
+  mSync.Publish(mStopping);
 }
 
 void
@@ -402,12 +409,18 @@
   return rank;
 }
 
+LoadMessage
+Sidecar::Impl::OwnLoad() const
+{
+  return { .mLoad = mGate.Load(),
+           .mStateVersion = mTable ? mTable->State().mVersion : 0,
+           .mFollow = mSync.Follow() };
+}
+
 void
 Sidecar::Impl::TellLoad(Millis aNow)
 {
-  LoadMessage message{ .mLoad = mGate.Load(),
-                       .mStateVersion = mTable ? mTable->State().mVersion : 0,
-                       .mFollowing = mSync.Following() };
+  const LoadMessage message = OwnLoad();
   mTargets.OnLoad(mSettings.mName, message.mLoad);
   const bool all = aNow - mLastFarLoad >= kFarLoadPeriod;
   if (all) {
@@ -434,6 +447,9 @@
   if (now - mLastLoad >= kLoadPeriod) {
     mLastLoad = now;
     DecideFollowing(now);
+    if (!mTable && now >= mReadAloneAt && !mSettings.mFirstStart) {
+      mSync.ReadOrdersOnce();
+    }
     TellLoad(now);
     TellLoads(now);
     const gateway::TargetLoad load = mGate.Load();
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -57,8 +57,14 @@
   Millis mStarted;
   Millis mLastNearLoads;
   Millis mLastFarLoads;
-  /** Nodes of the own data centre that follow the store, as they said. */
-  std::set<std::string> mFollowers;
+  /** How nodes of the own data centre get on with following the store, as
+   *  they said. */
+  std::map<std::string, gateway::FollowState> mFollowStates;
+  gateway::FollowerElection mFollowerElection;
+  /** When this node reads the desired state itself if it has none by then. */
+  Millis mReadAloneAt;
+  /** When the nodes' table was known first. */
+  Millis mLoadedAt;
   /** Whether a row of the operator comes from a neighbour. */
   bool mOrderFromPeer = false;
   std::uint64_t mLifetime;
@@ -99,6 +105,7 @@
   void OnCheckIn(HttpExchange& aExchange, const std::string& aTargetId);
   [[nodiscard]] bool Ready() const;
   void Tick();
+  [[nodiscard]] LoadMessage OwnLoad() const;
   void TellLoad(Millis aNow);
   void TellLoads(Millis aNow);
   void OnLoads(const std::string& aFrom, const LoadsMessage& aMessage);
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -11,12 +11,9 @@
 /** Nodes of each data centre that keep links to other data centres. Three
  *  bear two that fail at the same time. */
 constexpr std::size_t kLinkingNodes = 3;
-/** Nodes of each data centre that follow the store: the second one bears a
- *  freeze of the first, whose silence shows only after 1.6 s. */
-constexpr std::size_t kFollowers = 2;
-/** A node that is not among the first by name, or does not know that yet, lets
- *  others begin to follow. */
-constexpr Millis kLaterFollowDelay{ 1000 };
+/** For this long after it has read the nodes' table a node takes those in it
+ *  for alive, since links to them are not open yet. */
+constexpr Millis kTableGrace{ 1000 };
 /** How often loads are told to other data centres, near and far. */
 constexpr Millis kNearLoadsPeriod{ 500 };
 constexpr Millis kFarLoadsPeriod{ 1000 };
@@ -225,19 +222,34 @@
 void
 Sidecar::Impl::DecideFollowing(Millis aNow)
 {
-  std::size_t before = 0;
-  std::size_t followers = 0;
+  if (!mSync.Loaded()) {
+    return;
+  }
+  if (mLoadedAt.mCount == 0) {
+    mLoadedAt = aNow;
+  }
+  const Millis age = aNow - mLoadedAt;
+  if (mSettings.mFirstStart && age < kTableGrace) {
+    // Other nodes are still writing their first records.
+    return;
+  }
+  std::vector<gateway::FollowerCandidate> nodes;
   for (const auto& [node, record] : mTargets.Nodes().All()) {
-    if (record.mDataCentre != mSettings.mDataCentre || record.mLeaving ||
-        node >= mSettings.mName) {
+    if (record.mDataCentre != mSettings.mDataCentre || record.mLeaving) {
       continue;
     }
-    ++before;
-    followers += mFollowers.contains(node) && mMesh.Reachable(node) ? 1 : 0;
-  }
-  const Millis delay =
-    before < kFollowers && mSync.Loaded() ? Millis{} : kLaterFollowDelay;
-  mSync.SetFollowing(followers < kFollowers && aNow - mStarted >= delay);
+    const bool own = node == mSettings.mName;
+    if (!own && !mMesh.Reachable(node) && age >= kTableGrace) {
+      continue;
+    }
+    const auto state = mFollowStates.find(node);
+    nodes.push_back({ .mNode = node,
+                      .mState = own ? mSync.Follow()
+                                : state == mFollowStates.end()
+                                  ? gateway::FollowState::Idle
+                                  : state->second });
+  }
+  mSync.SetFollowing(mFollowerElection.Decide(mSettings.mName, nodes, aNow));
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -42,6 +42,10 @@
       return;
     }
     OnRecord(record->mRecord, aNode);
+    if (record->mRecord.mNode == aNode) {
+      // A node that has just started learns at once which state there is.
+      mMesh.Reply(aLink, OwnLoad());
+    }
     const NodeRecord* const known = mTargets.Nodes().Find(aNode);
     if (known != nullptr && record->mRecord.mNode == aNode &&
         known->Supersedes(record->mRecord)) {
@@ -112,10 +116,12 @@
                       const LoadMessage& aMessage)
 {
   mTargets.OnLoad(aNode, aMessage.mLoad);
-  if (aMessage.mFollowing && IsNear(aNode)) {
-    mFollowers.insert(aNode);
-  } else {
-    mFollowers.erase(aNode);
+  if (IsNear(aNode)) {
+    const auto before = std::exchange(mFollowStates[aNode], aMessage.mFollow);
+    if (before != aMessage.mFollow &&
+        aMessage.mFollow == gateway::FollowState::Working) {
+      mSync.OnStoreReturned();
+    }
   }
   const std::uint64_t own = mTable ? mTable->State().mVersion : 0;
   if (aMessage.mStateVersion <= own) {
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -68,21 +68,40 @@
 void
 StoreSync::Start(bool aFirstStart)
 {
-  if (aFirstStart) {
-    // Nothing is in the table yet. The record is written with the target's
-    // first check-in, and the table read afterwards: of two nodes that start
-    // at the same time, at least one then sees the other.
-    mRecordChanged = true;
-    mRecordTimer.StartOnce(mOptions.mFirstWriteDelay);
-  } else {
+  // The record is written with the target's first check-in.
+  mRecordChanged = true;
+  mRecordTimer.StartOnce(mOptions.mFirstWriteDelay);
+  mMayWrite = aFirstStart;
+  if (!aFirstStart) {
     ReadNodes();
-    // Every node once, also those that do not follow: after a loss of power
-    // no neighbour can tell it.
+  }
+  // At the first start nothing is in the table yet. It is read after the
+  // write: of two nodes that start at the same time, at least one then sees
+  // the other.
+}
+
+void
+StoreSync::ReadOrdersOnce()
+{
+  if (!mAsking && mOrders.empty()) {
     mAsking = true;
     ReadOrders();
   }
 }
 
+gateway::FollowState
+StoreSync::Follow() const
+{
+  if (!mFollowing) {
+    return gateway::FollowState::Idle;
+  }
+  if (mFollowFails) {
+    return gateway::FollowState::Failing;
+  }
+  return mOrdersRead && mFollowWorks ? gateway::FollowState::Working
+                                     : gateway::FollowState::Idle;
+}
+
 void
 StoreSync::SetFollowing(bool aFollowing)
 {
@@ -91,6 +110,7 @@
   }
   mFollowing = aFollowing;
   mFollowWorks = false;
+  mFollowFails = false;
   mLog.Change("store", "following", { { "follows", aFollowing } });
   AskOrders();
 }
@@ -116,10 +136,10 @@
 }
 
 Millis
-StoreSync::RetryPause()
+StoreSync::RetryPause(Millis aMost)
 {
-  const Millis pause = std::min(
-    mOptions.mRetryMost, mOptions.mRetryLeast * (1 << std::min(mFailures, 4)));
+  const Millis pause =
+    std::min(aMost, mOptions.mRetryLeast * (1 << std::min(mFailures, 4)));
   return pause * (0.5 + 0.5 * UniformFraction(mRandom));
 }
 
@@ -170,8 +190,9 @@
     OnAnswer("read_orders", aResult);
     mAsking = false;
     mFollowWorks = aResult.has_value();
+    mFollowFails = !mFollowWorks;
     if (!aResult) {
-      mOrdersTimer.StartOnce(RetryPause());
+      mOrdersTimer.StartOnce(RetryPause(mOptions.mRetryMost));
       return;
     }
     mOrdersRead = true;
@@ -196,11 +217,13 @@
                       AskOrders();
                     } else {
                       mFollowWorks = false;
-                      mOrdersTimer.StartOnce(RetryPause());
+                      mFollowFails = true;
+                      mOrdersTimer.StartOnce(RetryPause(mOptions.mRetryMost));
                     }
                     return;
                   }
                   mFollowWorks = true;
+                  mFollowFails = false;
                   TakeOrders(*aResult);
                   mOrdersTimer.StartOnce(
                     aResult->mRows.empty() ? Millis{ 1 } : mOptions.mBatch);
@@ -251,28 +274,27 @@
   mStore.Read(kTable, [this](Result aResult) {
     OnAnswer("read_nodes", aResult);
     if (!aResult) {
-      mNodesTimer.StartOnce(RetryPause());
+      mNodesTimer.StartOnce(RetryPause(mOptions.mRetryMost));
       return;
     }
     mNodesRead = true;
+    mMayWrite = true;
     const std::string own = std::string(kNodePrefix) + mOptions.mNode;
     const bool present =
       std::any_of(aResult->mRows.begin(),
                   aResult->mRows.end(),
                   [&](const Row& aRow) { return aRow.mKey == own; });
     if (!present && mRowVersions[own] != 0) {
-      // Another node took this one for gone and removed its row.
+      // An operator removed the row.
       mRowVersions[own] = 0;
       mRecordChanged = true;
     }
-    if (!present && !mReadSinceWrite) {
-      mRecordChanged = true;
-    } else if (present) {
+    if (present) {
       // The nodes that know the row find this node by it.
       mReadSinceWrite = true;
     }
     TakeNodes(*aResult);
-    if (mRecordChanged) {
+    if (mRecordChanged && mFirstWriteTried) {
       WriteRecord();
     }
     mNodesTimer.StartOnce(mOptions.mRepairPeriod *
@@ -282,16 +304,31 @@
 }
 
 void
-StoreSync::Publish()
+StoreSync::Publish(bool aAtOnce)
 {
+  const bool waits = mRecordChanged;
   mRecordChanged = true;
-  WriteRecord();
+  mWriteAtOnce = mWriteAtOnce || aAtOnce;
+  if (mWriteAtOnce || !mFirstWriteTried) {
+    WriteRecord();
+  } else if (!waits) {
+    mRecordTimer.StartOnce(mOptions.mRecordBatch);
+  }
+}
+
+void
+StoreSync::OnStoreReturned()
+{
+  if (mRecordChanged && mFailures > 0) {
+    mRecordTimer.StartOnce(mOptions.mReturnSpread * UniformFraction(mRandom));
+  }
 }
 
 void
 StoreSync::WriteRecord()
 {
-  if (mWriting || !mRecordChanged) {
+  mFirstWriteTried = true;
+  if (mWriting || !mRecordChanged || !mMayWrite) {
     return;
   }
   mWriting = true;
@@ -312,17 +349,19 @@
         mReadSinceWrite = true;
         ReadNodes();
       }
-      if (mRecordChanged) {
+      if (mRecordChanged && mWriteAtOnce) {
         WriteRecord();
+      } else if (mRecordChanged) {
+        mRecordTimer.StartOnce(mOptions.mRecordBatch);
       }
       return;
     }
     mRecordChanged = true;
     if (aResult.error().mFailure == StoreFailure::Conflict ||
         aResult.error().mFailure == StoreFailure::OutcomeUnknown) {
-      mNodesTimer.StartOnce(RetryPause());
+      mNodesTimer.StartOnce(RetryPause(mOptions.mRetryMost));
     } else {
-      mRecordTimer.StartOnce(RetryPause());
+      mRecordTimer.StartOnce(RetryPause(mOptions.mRecordRetryMost));
     }
   });
 }
@@ -352,22 +391,4 @@
   });
 }
 
-void
-StoreSync::RemoveRecord(const std::string& aNode)
-{
-  const std::string key = std::string(kNodePrefix) + aNode;
-  const auto version = mRowVersions.find(key);
-  if (version == mRowVersions.end()) {
-    return;
-  }
-  StoreChange change;
-  change.mConditions.push_back(
-    { .mTable = kTable, .mKey = key, .mVersion = version->second });
-  change.mDeletes.push_back({ .mTable = kTable, .mKey = key });
-  mRowVersions.erase(version);
-  mStore.Commit(change, [this](const Result& aResult) {
-    OnAnswer("remove_record", aResult);
-  });
-}
-
 } // namespace papayaway::sidecar
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -49,8 +49,9 @@
   ExpectSame(kCall);
   ExpectSame(kReply);
   ExpectSame(CancelMessage{ .mId = 9 });
-  ExpectSame(LoadMessage{
-    .mLoad = kReply.mLoad, .mStateVersion = 31, .mFollowing = true });
+  ExpectSame(LoadMessage{ .mLoad = kReply.mLoad,
+                          .mStateVersion = 31,
+                          .mFollow = gateway::FollowState::Failing });
   ExpectSame(LoadsMessage{ .mLoads = { { "n1", kReply.mLoad } } });
   ExpectSame(RecordMessage{ { .mNode = "n",
                               .mDataCentre = "a",
