Pack desired states between neighbours and tell them sooner after a restart

One follower of a data centre sent a state of about 100 KB to 20 neighbours over a link of 10 Mbit/s.

Ruled out: late check-ins (targets were known 20 ms after the start), late links (open after 30 ms), the store (the followers had the state after 0.4 s).

Change: a whole row of the operator is packed by zlib, once for all neighbours. A node that gets its first state tells its version at once, one without a state asks again after 0.3 s, and a node decides whether it follows as soon as it has read the nodes' table.

--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -144,8 +144,8 @@
 struct OrderMessage
 {
   std::string mKey;
-  /** Empty if the value comes as a delta. */
-  std::string mValue;
+  /** The packed value, or empty if it comes as a delta. */
+  std::string mPackedValue;
   std::uint64_t mVersion = 0;
   /** The version of the row that the delta starts from, or 0. */
   std::uint64_t mBase = 0;
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -25,6 +25,8 @@
   /** The record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecord;
   std::function<void(const gateway::RolloutProgress&)> mProgress;
+  /** The nodes' table was read. */
+  std::function<void()> mLoaded;
   /** @return the record of this node as it is now. */
   std::function<gateway::NodeRecord()> mOwnRecord;
   /** The store has a record of this node from a later lifetime. */
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -331,7 +331,7 @@
       } else if constexpr (std::is_same_v<Message, StateQuestion>) {
         return json::array({ Type::StateQuestion });
       } else if constexpr (std::is_same_v<Message, OrderMessage>) {
-        return { Type::Order,     aValue.mKey,  Binary(aValue.mValue),
+        return { Type::Order,     aValue.mKey,  Binary(aValue.mPackedValue),
                  aValue.mVersion, aValue.mBase, ToJson(aValue.mDelta) };
       } else {
         return ToJson(aValue);
@@ -372,7 +372,7 @@
       return StateQuestion{};
     case Type::Order:
       return OrderMessage{ .mKey = aList.at(1).get<std::string>(),
-                           .mValue = Bytes(aList.at(2)),
+                           .mPackedValue = Bytes(aList.at(2)),
                            .mVersion = aList.at(3).get<std::uint64_t>(),
                            .mBase = aList.at(4).get<std::uint64_t>(),
                            .mDelta = DeltaOf(aList.at(5)) };
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -132,6 +132,7 @@
           [this](const gateway::RolloutProgress& aProgress) {
             mRollouts.OnWritten(aProgress);
           },
+        .mLoaded = [this] { DecideFollowing(SteadyNow()); },
         .mOwnRecord = [this] { return OwnRecord(); },
         .mOwnSuperseded =
           [this](const NodeRecord& aRecord) {
@@ -324,6 +325,7 @@
   if (mTable && state->mVersion <= current) {
     return false;
   }
+  const bool first = mTable == nullptr;
   mTable = std::make_shared<gateway::RoutingTable>(*state);
   mStateSince = SteadyNow();
   mDispatcher.SetState(mTable);
@@ -342,6 +344,10 @@
                 { "source", aSource },
                 { "hosts", state->mHosts.size() },
                 { "services", state->mServices.size() } });
+  if (first) {
+    // Neighbours that started at the same time ask for it at once.
+    SendNear(OwnLoad());
+  }
   return true;
 }
 
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <base/Random.h>
+#include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
@@ -65,6 +66,8 @@
   Millis mReadAloneAt;
   /** When the nodes' table was known first. */
   Millis mLoadedAt;
+  /** The operator's rows as they were last told whole, by key. */
+  std::map<std::string, OrderMessage> mPackedOrders;
   /** Whether a row of the operator comes from a neighbour. */
   bool mOrderFromPeer = false;
   std::uint64_t mLifetime;
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -173,7 +173,7 @@
     message.mBase = aOld.mVersion;
     message.mDelta = gateway::MakeDelta(aOld.mValue, aRow.mValue);
   } else {
-    message.mValue = aRow.mValue;
+    message.mPackedValue = gateway::Pack(aRow.mValue);
   }
   SendNear(message);
 }
@@ -183,26 +183,28 @@
 {
   Row row{ .mTable = mPort.Operator().mOrders,
            .mKey = aMessage.mKey,
-           .mValue = aMessage.mValue,
            .mVersion = aMessage.mVersion };
+  Expected<std::string> value = std::string();
   if (aMessage.mBase != 0) {
     const auto known = mSync.Orders().find(aMessage.mKey);
     if (known == mSync.Orders().end() ||
         known->second.mVersion != aMessage.mBase) {
       return;
     }
-    auto value = gateway::ApplyDelta(known->second.mValue, aMessage.mDelta);
-    if (!value) {
-      mMetrics.mBadInput.Increment();
-      mLog.Change("state",
-                  "bad_delta",
-                  { { "key", aMessage.mKey },
-                    { "base", aMessage.mBase },
-                    { "reason", value.error().mMessage } });
-      return;
-    }
-    row.mValue = std::move(*value);
+    value = gateway::ApplyDelta(known->second.mValue, aMessage.mDelta);
+  } else {
+    value = gateway::Unpack(aMessage.mPackedValue);
   }
+  if (!value) {
+    mMetrics.mBadInput.Increment();
+    mLog.Change("state",
+                "bad_order",
+                { { "key", aMessage.mKey },
+                  { "base", aMessage.mBase },
+                  { "reason", value.error().mMessage } });
+    return;
+  }
+  row.mValue = std::move(*value);
   mOrderFromPeer = true;
   mSync.TakeOrder(row);
   mOrderFromPeer = false;
@@ -212,10 +214,14 @@
 Sidecar::Impl::TellOrders(LinkId aLink)
 {
   for (const auto& [key, row] : mSync.Orders()) {
-    mMesh.Reply(aLink,
-                OrderMessage{ .mKey = key,
-                              .mValue = row.mValue,
-                              .mVersion = row.mVersion });
+    // Packed once for all neighbours, which may ask at the same time.
+    OrderMessage& packed = mPackedOrders[key];
+    if (packed.mVersion != row.mVersion) {
+      packed = { .mKey = key,
+                 .mPackedValue = gateway::Pack(row.mValue),
+                 .mVersion = row.mVersion };
+    }
+    mMesh.Reply(aLink, packed);
   }
 }
 
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kFarStateDelay{ 1500 };
 /** Between questions, while an answer may be on its way. */
 constexpr Millis kAskPause{ 700 };
+/** The same while this node has no desired state and serves nobody. */
+constexpr Millis kFirstAskPause{ 300 };
 /** Requests of other nodes that were on their way are still run. */
 constexpr Millis kStopServing{ 400 };
 
@@ -136,7 +138,8 @@
   const Millis delay = own == 0        ? Millis{}
                        : IsNear(aNode) ? kNearStateDelay
                                        : kFarStateDelay;
-  if (now - mBehindSince >= delay && now - mAskedAt >= kAskPause) {
+  const Millis pause = own == 0 ? kFirstAskPause : kAskPause;
+  if (now - mBehindSince >= delay && now - mAskedAt >= pause) {
     mAskedAt = now;
     mMesh.Reply(aLink, StateQuestion{});
   }
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -294,6 +294,7 @@
       mReadSinceWrite = true;
     }
     TakeNodes(*aResult);
+    mHandlers.mLoaded();
     if (mRecordChanged && mFirstWriteTried) {
       WriteRecord();
     }
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -86,7 +86,7 @@
   ExpectSame(StateQuestion{});
   ExpectSame(OrderMessage{
     .mKey = "k",
-    .mValue = "v",
+    .mPackedValue = "v",
     .mVersion = 5,
     .mBase = 4,
     .mDelta = { .mParts = { { .mFrom = 1, .mLength = 2 }, { .mBytes = "x" } },
--- a/setup.sh
+++ b/setup.sh
@@ -8,7 +8,7 @@
   libev-dev libwebsocketpp-dev libmicrohttpd-dev libcurl4-openssl-dev
   libinih-dev libhttp-parser-dev nlohmann-json3-dev libexpected-dev librapidcheck-dev
   prometheus-cpp-dev libgoogle-glog-dev libboost-dev
-  libboost-program-options-dev libxxhash-dev libssl-dev
+  libboost-program-options-dev libxxhash-dev libssl-dev zlib1g-dev
   libgtest-dev libbenchmark-dev
 )
 
