See slow targets early, avoid forgotten connections, repeat urgent requests first

Change: RunTimes::Slowdown() raises the told mean and the expected run times while more than half of the open runs are overdue. RepeatBudget leaves saved repeats to urgent requests. TargetClient does not use connections again that rested half as long as one that was found forgotten.

--- a/libs/gateway/include/gateway/RepeatBudget.h
+++ b/libs/gateway/include/gateway/RepeatBudget.h
@@ -19,6 +19,10 @@
   Millis mReserveRefill = Seconds(10);
   /** Repeats saved up by requests at most. */
   double mMaxSaved = 3;
+  /** What each rank below the most urgent one leaves of them... */
+  double mLeftByRank = 0.75;
+  /** ...up to this rank. */
+  int mLastRank = 2;
 
   bool operator==(const RepeatBudgetOptions&) const = default;
 };
@@ -41,9 +45,13 @@
   /** Tells of a new request for the service. */
   void OnRequest(const std::string& aService, Millis aNow);
 
-  /** Takes a repeat from the budget.
+  /** Takes a repeat from the budget. While repeats are scarce, less urgent
+   *  requests leave what is saved to more urgent ones.
+   *  @param aPriority the route's rank, 0 is the most urgent.
    *  @return whether there was one. */
-  [[nodiscard]] bool TryRepeat(const std::string& aService, Millis aNow);
+  [[nodiscard]] bool TryRepeat(const std::string& aService,
+                               int aPriority,
+                               Millis aNow);
 
 private:
   struct Account
--- a/libs/gateway/src/RepeatBudget.cpp
+++ b/libs/gateway/src/RepeatBudget.cpp
@@ -29,10 +29,13 @@
 }
 
 bool
-RepeatBudget::TryRepeat(const std::string& aService, Millis aNow)
+RepeatBudget::TryRepeat(const std::string& aService, int aPriority, Millis aNow)
 {
   Account& account = Of(aService, aNow);
-  double& source = account.mSaved >= 1 ? account.mSaved : account.mReserve;
+  const double left =
+    mOptions.mLeftByRank * std::clamp(aPriority, 0, mOptions.mLastRank);
+  double& source =
+    account.mSaved >= 1 + left ? account.mSaved : account.mReserve;
   if (source < 1) {
     return false;
   }
--- a/libs/gateway/src/RunTimes.cpp
+++ b/libs/gateway/src/RunTimes.cpp
@@ -1,6 +1,8 @@
 #include <gateway/RunTimes.h>
 
+#include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace papayaway::gateway {
 
@@ -30,6 +32,23 @@
   estimate.mMean = Blend(estimate.mMean, aTime);
 }
 
+double
+RunTimes::Slowdown(std::span<const OpenRun> aRuns) const
+{
+  if (aRuns.size() < 2) {
+    return 1;
+  }
+  std::vector<double> ratios;
+  ratios.reserve(aRuns.size());
+  for (const OpenRun& run : aRuns) {
+    ratios.push_back(run.mAge / Mean(run.mRoute));
+  }
+  const auto most =
+    ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2 - 1);
+  std::nth_element(ratios.begin(), most, ratios.end());
+  return *most > kOverdue ? *most : 1;
+}
+
 Millis
 RunTimes::Mean(std::string_view aRoute) const
 {
--- a/libs/gateway/tests/RepeatBudgetTest.cpp
+++ b/libs/gateway/tests/RepeatBudgetTest.cpp
@@ -17,7 +17,7 @@
   for (int i = 0; i < 1000; ++i) {
     const Millis now{ i * 10.0 };
     budget.OnRequest("s", now);
-    repeats += budget.TryRepeat("s", now) ? 1 : 0;
+    repeats += budget.TryRepeat("s", 0, now) ? 1 : 0;
   }
   EXPECT_GE(repeats, 95);
   EXPECT_LE(repeats, 105);
@@ -31,18 +31,37 @@
     budget.OnRequest("s", {});
   }
   int repeats = 0;
-  while (budget.TryRepeat("s", {})) {
+  while (budget.TryRepeat("s", 0, {})) {
     ++repeats;
   }
   EXPECT_EQ(repeats, 12);
 }
 
+// Load pattern: all targets of a service shed half of what they get. The few
+// repeats go to the most urgent requests, which arrive among many others.
+TEST(RepeatBudget, UrgentRequestsGoFirstWhileRepeatsAreScarce)
+{
+  RepeatBudget budget({ .mShare = 0.1, .mReserve = 0 });
+  int urgent = 0;
+  int others = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const Millis now{ i * 10.0 };
+    budget.OnRequest("s", now);
+    const bool isUrgent = i % 10 == 0;
+    const bool repeated = budget.TryRepeat("s", isUrgent ? 0 : 2, now);
+    urgent += isUrgent && repeated ? 1 : 0;
+    others += !isUrgent && repeated ? 1 : 0;
+  }
+  EXPECT_GE(urgent, 90);
+  EXPECT_LE(urgent + others, 105);
+}
+
 TEST(RepeatBudget, ServicesAreApart)
 {
   RepeatBudget budget({ .mReserve = 1 });
-  EXPECT_TRUE(budget.TryRepeat("a", {}));
-  EXPECT_FALSE(budget.TryRepeat("a", {}));
-  EXPECT_TRUE(budget.TryRepeat("b", {}));
+  EXPECT_TRUE(budget.TryRepeat("a", 0, {}));
+  EXPECT_FALSE(budget.TryRepeat("a", 0, {}));
+  EXPECT_TRUE(budget.TryRepeat("b", 0, {}));
 }
 
 TEST(RunTimes, RoutesAreLearntApart)
--- a/libs/http/include/http/TargetClient.h
+++ b/libs/http/include/http/TargetClient.h
@@ -40,6 +40,15 @@
   /** A part of the time of Keep-Alive, so that the target does not close a
    *  connection while a request is on its way. */
   double mKeepAlivePart = 0.6;
+  /** A kept connection that is reset within this time of its next request was
+   *  forgotten by the target while it was idle: nothing has run so soon. */
+  Millis mForgottenWithin{ 20 };
+  /** Connections that were idle for this part of the time after which one was
+   *  found forgotten are not used again, but at least for mLeastIdle... */
+  double mForgottenPart = 0.5;
+  Millis mLeastIdle{ 100 };
+  /** ...and no longer than this after the last such find. */
+  Millis mForgottenMemory = Seconds(10);
   Millis mConnectTimeout = Seconds(1);
   /** Whether a response answers the request with this id; others on the
    *  connection are late or doubled answers and are dropped. */
--- a/libs/http/src/TargetClient.cpp
+++ b/libs/http/src/TargetClient.cpp
@@ -1,6 +1,7 @@
 #include <http/TargetClient.h>
 
 #include <charconv>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -49,6 +50,9 @@
     bool mDone = false;
     HttpMessage mAnswer;
     Millis mIdleUntil;
+    /** When the last call on it ended and the current one began. */
+    Millis mIdleSince;
+    Millis mSentAt;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -58,6 +62,10 @@
   std::uint64_t mOpened = 0;
   std::unordered_map<CallId, ConnectionPtr> mBusy;
   std::vector<ConnectionPtr> mIdle;
+  /** The idle time that the target was last found to forget connections
+   *  after, and when. */
+  std::optional<Millis> mForgotAfter;
+  Millis mForgotAt;
   Timer mSweep;
 
   Impl(EventLoop& aLoop, TargetClientOptions aOptions)
@@ -84,10 +92,29 @@
     mIdle.clear();
   }
 
+  /** Learns from a kept connection that was reset. */
+  void OnForgotten(const Connection& aConnection, Millis aNow)
+  {
+    if (!aConnection.mReused ||
+        aNow - aConnection.mSentAt > mOptions.mForgottenWithin) {
+      return;
+    }
+    const Millis idle = aConnection.mSentAt - aConnection.mIdleSince;
+    mForgotAfter = std::min(mForgotAfter.value_or(idle), idle);
+    mForgotAt = aNow;
+  }
+
   void DropExpired(Millis aNow)
   {
+    if (mForgotAfter && aNow - mForgotAt > mOptions.mForgottenMemory) {
+      mForgotAfter.reset();
+    }
     std::erase_if(mIdle, [&](const ConnectionPtr& aConnection) {
-      const bool expired = aConnection->mIdleUntil <= aNow;
+      const bool forgotten =
+        mForgotAfter && aNow - aConnection->mIdleSince >=
+                          std::max(*mForgotAfter * mOptions.mForgottenPart,
+                                   mOptions.mLeastIdle);
+      const bool expired = forgotten || aConnection->mIdleUntil <= aNow;
       if (expired) {
         aConnection->mStream->Close();
       }
@@ -202,6 +229,7 @@
         return;
       }
     }
+    OnForgotten(*aConnection, SteadyNow());
     Fail(aConnection, TargetEnd::Lost);
   }
 
@@ -224,6 +252,7 @@
       aConnection->mIdleUntil =
         SteadyNow() + (seconds > 0 ? Seconds(seconds) * mOptions.mKeepAlivePart
                                    : mOptions.mIdleLimit);
+      aConnection->mIdleSince = SteadyNow();
       mIdle.push_back(aConnection);
     } else {
       aConnection->mStream->Close();
@@ -265,6 +294,7 @@
   const CallId id = mImpl->mNextId++;
   connection->mCall = id;
   connection->mRequestId = aRequest.mRequestId;
+  connection->mSentAt = SteadyNow();
   connection->mCallback = std::move(aCallback);
   connection->mParser->ExpectNoBody(aRequest.mMessage.mMethod == "HEAD");
   mImpl->mBusy.emplace(id, connection);
--- a/libs/http/tests/TargetClientTest.cpp
+++ b/libs/http/tests/TargetClientTest.cpp
@@ -17,18 +17,19 @@
         [this](std::shared_ptr<TcpStream> aStream) {
           mTargets.push_back(std::make_unique<RawPeer>(std::move(aStream)));
         })))
-    , mClient(
-        mLoop,
-        { .mAnswers = [](const HttpMessage& aMessage, const std::string& aId) {
-          return aMessage.mHeaders.Value("Id") == aId;
-        } })
   {
+    mClient.emplace(mLoop, TargetClientOptions{ .mAnswers = AnswersById });
+  }
+
+  static bool AnswersById(const HttpMessage& aMessage, const std::string& aId)
+  {
+    return aMessage.mHeaders.Value("Id") == aId;
   }
 
   TargetClient::CallId Send(const std::string& aId)
   {
     mResult.reset();
-    return mClient.Send(
+    return mClient->Send(
       { .mAddress = mListener->Address(),
         .mMessage = { .mMethod = "GET", .mTarget = "/" + aId },
         .mRequestId = aId },
@@ -58,7 +59,7 @@
 
   std::vector<std::unique_ptr<RawPeer>> mTargets;
   std::unique_ptr<TcpListener> mListener;
-  TargetClient mClient;
+  std::optional<TargetClient> mClient;
   std::optional<TargetResult> mResult;
 };
 
@@ -74,7 +75,7 @@
   mTargets[0]->Write(Response("2"));
   ASSERT_TRUE(Ended());
   EXPECT_TRUE(mResult->mReusedConnection);
-  EXPECT_EQ(mClient.Opened(), 1U);
+  EXPECT_EQ(mClient->Opened(), 1U);
 }
 
 // Guards against the answer to an earlier request being taken for that of the
@@ -146,6 +147,32 @@
   EXPECT_EQ(mTargets.size(), 1U);
 }
 
+// Guards against requests that are lost one after the other on kept
+// connections which the target forgets sooner than it says.
+TEST_F(TargetClientTest, ConnectionsForgottenWhileIdleAreNotUsedAgain)
+{
+  mClient.emplace(mLoop,
+                  TargetClientOptions{ .mForgottenWithin = Seconds(5),
+                                       .mAnswers = AnswersById });
+  Send("1");
+  ASSERT_TRUE(Arrived(0, "1"));
+  mTargets[0]->Write(Response("1"));
+  ASSERT_TRUE(Ended());
+  RunFor(Millis{ 300 });
+  Send("2");
+  ASSERT_TRUE(Arrived(0, "2"));
+  mTargets[0]->Close();
+  ASSERT_TRUE(Ended());
+  ASSERT_EQ(mResult->mEnd, TargetEnd::Lost);
+  Send("3");
+  ASSERT_TRUE(Arrived(1, "3"));
+  mTargets[1]->Write(Response("3"));
+  ASSERT_TRUE(Ended());
+  RunFor(Millis{ 250 });
+  Send("4");
+  EXPECT_TRUE(Arrived(2, "4")) << "sent on a connection that rested too long";
+}
+
 TEST_F(TargetClientTest, BytesThatAreNoAnswerAreLost)
 {
   Send("1");
@@ -160,10 +187,10 @@
 {
   const std::string address = mListener->Address();
   mListener.reset();
-  mClient.Send({ .mAddress = address,
-                 .mMessage = { .mMethod = "GET", .mTarget = "/" },
-                 .mRequestId = "1" },
-               [this](TargetResult aResult) { mResult = std::move(aResult); });
+  mClient->Send({ .mAddress = address,
+                  .mMessage = { .mMethod = "GET", .mTarget = "/" },
+                  .mRequestId = "1" },
+                [this](TargetResult aResult) { mResult = std::move(aResult); });
   ASSERT_TRUE(Ended());
   EXPECT_EQ(mResult->mEnd, TargetEnd::NotConnected);
 }
@@ -173,7 +200,7 @@
 {
   const TargetClient::CallId id = Send("1");
   ASSERT_TRUE(Arrived(0, "1"));
-  mClient.Cancel(id);
+  mClient->Cancel(id);
   EXPECT_TRUE(RunUntil([&] { return mTargets[0]->Ended(); }));
   EXPECT_FALSE(mResult);
 }
--- a/libs/sidecar/include/sidecar/TargetGate.h
+++ b/libs/sidecar/include/sidecar/TargetGate.h
@@ -125,6 +125,8 @@
   void FreeSlot();
   void Observe(const Serving& aServing, int aStatus, Millis aTime);
   void RefuseWaiting(const char* aReason);
+  /** @return how much slower the open runs show the target to be. */
+  [[nodiscard]] double Slowdown() const;
   void OnTimer();
   void ArmTimer();
 
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -233,7 +233,8 @@
   if (left < aReply.mLoad.mMeanRun * kRepeatRuns) {
     return false;
   }
-  const bool allowed = mBudget.TryRepeat(aActive.mService, SteadyNow());
+  const bool allowed =
+    mBudget.TryRepeat(aActive.mService, aActive.mRule->mPriority, SteadyNow());
   (allowed ? mParts.mMetrics.mRepeats : mParts.mMetrics.mRepeatsDenied)
     .Increment();
   if (mParts.mLog.Wants("repeat", Weight::Failure)) {
--- a/libs/sidecar/src/TargetGate.cpp
+++ b/libs/sidecar/src/TargetGate.cpp
@@ -165,6 +165,20 @@
   }
 }
 
+double
+TargetGate::Slowdown() const
+{
+  const Millis now = SteadyNow();
+  std::vector<gateway::OpenRun> runs;
+  for (const auto& [id, serving] : mServing) {
+    if (serving.mAtTarget) {
+      runs.push_back(
+        { .mRoute = serving.mCall.mRoute, .mAge = now - serving.mStarted });
+    }
+  }
+  return mRunTimes.Slowdown(runs);
+}
+
 TargetLoad
 TargetGate::Load() const
 {
@@ -172,7 +186,7 @@
   return { .mSlots = mQueue.Slots(),
            .mRunning = mQueue.Running(),
            .mWaiting = mQueue.Waiting(),
-           .mMeanRun = mRunTimes.Overall() * (0.5 + 0.5 * fade),
+           .mMeanRun = mRunTimes.Overall() * (0.5 + 0.5 * fade) * Slowdown(),
            .mSuccess = 1 - (1 - mSuccess) * fade };
 }
 
@@ -205,12 +219,15 @@
   const CallId id = mNextId++;
   const Millis now = SteadyNow();
   const Millis deadline = now + aCall.mTimeLeft;
+  const double slowdown = Slowdown();
   const SlotRequest request{ .mId = id,
                              .mPriority = aCall.mPriority,
                              .mDeadline = deadline,
                              .mObjective = now + aCall.mObjectiveLeft,
-                             .mRunTime = mRunTimes.Mean(aCall.mRoute),
-                             .mMostRunTime = mRunTimes.Most(aCall.mRoute) };
+                             .mRunTime =
+                               mRunTimes.Mean(aCall.mRoute) * slowdown,
+                             .mMostRunTime =
+                               mRunTimes.Most(aCall.mRoute) * slowdown };
   const char* const reason = WhyNot(aCall);
   mServing.emplace(id,
                    Serving{ .mCall = std::move(aCall),
