--- a/libs/lab/include/lab/ChildProcess.h
+++ b/libs/lab/include/lab/ChildProcess.h
@@ -17,13 +17,16 @@
   std::vector<std::string> mArguments;
   /** Receives what the process writes on standard error. */
   std::string mLogFile;
+  /** Whether the process prints a "ready" line. If not, Start() does not wait,
+   *  and standard output goes to the log file too. */
+  bool mAnnounces = true;
 };
 
 /** A process that was started here and ends with this object at the latest. */
 class ChildProcess
 {
 public:
-  /** Starts a process and waits for its "ready" line.
+  /** Starts a process and waits for its "ready" line, if it prints one.
    *  @return the process, or an error if it ended or said nothing in time. */
   static Expected<ChildProcess> Start(const ChildOptions& aOptions,
                                       Millis aTimeout = Seconds(20));
--- a/libs/lab/src/ChildProcess.cpp
+++ b/libs/lab/src/ChildProcess.cpp
@@ -29,6 +29,9 @@
     open(aOptions.mLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (log >= 0) {
     dup2(log, STDERR_FILENO);
+    if (!aOptions.mAnnounces) {
+      dup2(log, STDOUT_FILENO);
+    }
   }
   std::vector<char*> arguments;
   arguments.push_back(const_cast<char*>(aOptions.mProgram.c_str()));
@@ -79,6 +82,10 @@
     Execute(aOptions, pipe[1]);
   }
   close(pipe[1]);
+  if (!aOptions.mAnnounces) {
+    close(pipe[0]);
+    return process;
+  }
   std::istringstream words(ReadLine(pipe[0], aTimeout));
   close(pipe[0]);
   std::string word;
