Quarantine requests that crash targets in the sidecar

The product's Quarantine was used by papayaway-node only.

Ruled out: taking each reset for a crash; answers are lost by resets, too.

Change: CrashGuard reports a crash when a ready target refuses a connection within a second of lost requests, spreads reports and what ran since, and lets traffic's Quarantine decide. TargetGate refuses quarantined requests as not run, and the dispatcher does not offer them elsewhere. New metric papayaway_target_crashes_total.

Not tried with real processes.

--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -13,6 +13,7 @@
 #include <gateway/TargetChoice.h>
 #include <gateway/TextDelta.h>
 #include <net/Http.h>
+#include <wire/Messages.h>
 
 namespace papayaway::sidecar {
 
@@ -154,6 +155,22 @@
   bool operator==(const OrderMessage&) const = default;
 };
 
+/** The target of a node crashed. */
+struct CrashMessage
+{
+  CrashReport mReport;
+
+  bool operator==(const CrashMessage&) const = default;
+};
+
+/** A request that was in flight at a crash was answered since. */
+struct SuspectRanMessage
+{
+  std::string mFingerprint;
+
+  bool operator==(const SuspectRanMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -163,7 +180,9 @@
                                  EvidenceMessage,
                                  ProgressMessage,
                                  StateQuestion,
-                                 OrderMessage>;
+                                 OrderMessage,
+                                 CrashMessage,
+                                 SuspectRanMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -48,6 +48,7 @@
   prometheus::Counter& mRepeats;
   prometheus::Counter& mRepeatsDenied;
   prometheus::Counter& mBadInput;
+  prometheus::Counter& mTargetCrashes;
   prometheus::Counter& mLogDropped;
   prometheus::Counter& mTargetConnections;
   prometheus::Gauge& mRunning;
--- a/libs/sidecar/include/sidecar/TargetGate.h
+++ b/libs/sidecar/include/sidecar/TargetGate.h
@@ -38,6 +38,13 @@
   /** The target takes requests again, or does not any more. */
   std::function<void()> mStateChanged;
   std::function<void(const RunReport&)> mRan;
+  /** The target ended the connection of a request without an answer. */
+  std::function<void(const CallMessage&)> mLost;
+  std::function<void(const CallMessage&)> mAnswered;
+  /** The target, which was ready, refused a connection. */
+  std::function<void()> mRefusedConnection;
+  /** @return whether the request is known to crash targets. */
+  std::function<bool(const CallMessage&)> mIsQuarantined;
   /** @return whether the target's version takes requests at all; not once
    *    all of them were moved to another version. */
   std::function<bool(const gateway::TargetInfo&)> mVersionTakesRequests;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -280,7 +280,9 @@
   if (notRun && !active.mLast.mReachedTarget) {
     // It reached no target, so this is an offer rather than a repeat.
     const Millis now = SteadyNow();
+    const bool quarantined = active.mLast.mReason == "quarantined";
     const bool early =
+      !quarantined &&
       now < active.mArrived + active.mRule->mObjective * kOfferPart;
     if (++active.mRefusals < kMaxRefusals && early) {
       Dispatch(aId);
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -33,6 +33,8 @@
   StateQuestion,
   Order,
   Loads,
+  Crash,
+  SuspectRan,
 };
 
 json
@@ -333,6 +335,13 @@
       } else if constexpr (std::is_same_v<Message, OrderMessage>) {
         return { Type::Order,     aValue.mKey,  Binary(aValue.mPackedValue),
                  aValue.mVersion, aValue.mBase, ToJson(aValue.mDelta) };
+      } else if constexpr (std::is_same_v<Message, CrashMessage>) {
+        return { Type::Crash,
+                 aValue.mReport.mId,
+                 aValue.mReport.mService,
+                 aValue.mReport.mFingerprints };
+      } else if constexpr (std::is_same_v<Message, SuspectRanMessage>) {
+        return { Type::SuspectRan, aValue.mFingerprint };
       } else {
         return ToJson(aValue);
       }
@@ -376,6 +385,15 @@
                            .mVersion = aList.at(3).get<std::uint64_t>(),
                            .mBase = aList.at(4).get<std::uint64_t>(),
                            .mDelta = DeltaOf(aList.at(5)) };
+    case Type::Crash:
+      return CrashMessage{ .mReport = {
+                             .mId = aList.at(1).get<std::string>(),
+                             .mService = aList.at(2).get<std::string>(),
+                             .mFingerprints =
+                               aList.at(3).get<std::vector<std::string>>() } };
+    case Type::SuspectRan:
+      return SuspectRanMessage{ .mFingerprint =
+                                  aList.at(1).get<std::string>() };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -87,22 +87,42 @@
           [this](const EvidenceMessage& aMessage) {
             OnEvidence(mSettings.mName, aMessage);
           } })
-  , mGate(aLoop,
-          { .mNode = aSettings.mName,
-            .mAddress = aSettings.mTargetAddress,
-            .mService = aSettings.mService },
-          aPort,
-          { .mStateChanged = [this] { PublishRecord(); },
-            .mRan =
-              [this](const RunReport& aRun) {
-                mRollouts.OnRun(mSettings.mName, mLifetime, aRun);
-              },
-            .mVersionTakesRequests =
-              [this](const gateway::TargetInfo& aTarget) {
-                return mRollouts.TakesRequests(aTarget);
-              } },
-          mLog,
-          mMetrics)
+  , mCrashes(
+      aSettings.mName,
+      [this](const PeerMessage& aMessage) {
+        Spread(aMessage, mSettings.mName);
+      },
+      mLog,
+      mMetrics)
+  , mGate(
+      aLoop,
+      { .mNode = aSettings.mName,
+        .mAddress = aSettings.mTargetAddress,
+        .mService = aSettings.mService },
+      aPort,
+      { .mStateChanged = [this] { PublishRecord(); },
+        .mRan =
+          [this](const RunReport& aRun) {
+            mRollouts.OnRun(mSettings.mName, mLifetime, aRun);
+          },
+        .mLost =
+          [this](const CallMessage& aCall) {
+            mCrashes.OnLost(aCall, SteadyNow());
+          },
+        .mAnswered =
+          [this](const CallMessage& aCall) { mCrashes.OnAnswered(aCall); },
+        .mRefusedConnection =
+          [this] { mCrashes.OnTargetGone(mSettings.mService, SteadyNow()); },
+        .mIsQuarantined =
+          [this](const CallMessage& aCall) {
+            return mCrashes.IsQuarantined(aCall);
+          },
+        .mVersionTakesRequests =
+          [this](const gateway::TargetInfo& aTarget) {
+            return mRollouts.TakesRequests(aTarget);
+          } },
+      mLog,
+      mMetrics)
   , mDispatcher(
       aLoop,
       { .mNode = aSettings.mName,
@@ -453,6 +473,7 @@
   if (now - mLastLoad >= kLoadPeriod) {
     mLastLoad = now;
     DecideFollowing(now);
+    mCrashes.OnTick(WallNow());
     if (!mTable && now >= mReadAloneAt && !mSettings.mFirstStart) {
       mSync.ReadOrdersOnce();
     }
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -12,6 +12,7 @@
 #include <gateway/RoutingTable.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
+#include <sidecar/CrashGuard.h>
 #include <sidecar/Dispatcher.h>
 #include <sidecar/EventLog.h>
 #include <sidecar/PeerMesh.h>
@@ -35,6 +36,7 @@
   PeerMesh mMesh;
   TargetDirectory mTargets;
   RolloutAgent mRollouts;
+  CrashGuard mCrashes;
   TargetGate mGate;
   Dispatcher mDispatcher;
   StoreSync mSync;
@@ -113,6 +115,8 @@
   void TellLoads(Millis aNow);
   void OnLoads(const std::string& aFrom, const LoadsMessage& aMessage);
   void OnEvidence(const std::string& aFrom, const EvidenceMessage& aMessage);
+  /** Sends news of this node, or of aFrom, on to all nodes. */
+  void Spread(const PeerMessage& aMessage, const std::string& aFrom);
   void TellOrders(LinkId aLink);
   void DecideFollowing(Millis aNow);
   void UpdateLinks();
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -146,6 +146,18 @@
   }
 }
 
+void
+Sidecar::Impl::Spread(const PeerMessage& aMessage, const std::string& aFrom)
+{
+  // A node of the own data centre has told all of its neighbours.
+  if (aFrom == mSettings.mName || !IsNear(aFrom)) {
+    SendNear(aMessage);
+  }
+  if ((aFrom == mSettings.mName || IsNear(aFrom)) && Speaks()) {
+    SendToOtherSpeakers(aMessage, true);
+  }
+}
+
 void
 Sidecar::Impl::OnEvidence(const std::string& aFrom,
                           const EvidenceMessage& aMessage)
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -66,6 +66,15 @@
     TellOrders(aLink);
   } else if (const auto* const order = std::get_if<OrderMessage>(&aMessage)) {
     OnOrderOfPeer(*order);
+  } else if (const auto* const crash = std::get_if<CrashMessage>(&aMessage)) {
+    if (mCrashes.OnReport(*crash)) {
+      Spread(*crash, aNode);
+    }
+  } else if (const auto* const ran =
+               std::get_if<SuspectRanMessage>(&aMessage)) {
+    if (mCrashes.OnSuspectRan(*ran)) {
+      Spread(*ran, aNode);
+    }
   }
 }
 
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -80,6 +80,9 @@
   , mBadInput(Counter(mRegistry,
                       "papayaway_bad_input_total",
                       "Check-ins, rows and messages that can't be read"))
+  , mTargetCrashes(Counter(mRegistry,
+                           "papayaway_target_crashes_total",
+                           "Crashes of targets of all nodes, as reported"))
   , mLogDropped(Counter(mRegistry,
                         "papayaway_log_lines_dropped_total",
                         "Lines dropped because the log's reader was slow"))
--- a/libs/sidecar/src/TargetGate.cpp
+++ b/libs/sidecar/src/TargetGate.cpp
@@ -210,6 +210,9 @@
   if (mQueue.Waiting() >= kMaxWaiting) {
     return "queue_full";
   }
+  if (mHandlers.mIsQuarantined(aCall)) {
+    return "quarantined";
+  }
   return nullptr;
 }
 
@@ -320,11 +323,13 @@
     reply.mReachedTarget = false;
     reply.mReason = "target_refused_connection";
     if (mTarget->mState == TargetState::Ready) {
+      mHandlers.mRefusedConnection();
       SetState(TargetState::Gone, "refused a connection");
     }
   } else if (aResult.mEnd == TargetEnd::Lost) {
     reply.mOutcome = CallOutcome::Unknown;
     reply.mReason = "target_connection_lost";
+    mHandlers.mLost(serving.mCall);
     mSuccess *= 1 - kSuccessWeight;
   } else if (response.mStatus == 421) {
     reply.mOutcome = CallOutcome::NotRun;
@@ -344,6 +349,7 @@
     reply.mHeaders = EndToEndHeaders(response.mHeaders);
     reply.mHeaders.Remove(mPort.Headers().mLoad);
     mLastAnswer = now;
+    mHandlers.mAnswered(serving.mCall);
     Observe(serving, response.mStatus, time);
     reply.mBody = std::move(aResult.mResponse.mBody);
   }
--- /dev/null
+++ b/libs/sidecar/tests/CrashGuardTest.cpp
@@ -0,0 +1,116 @@
+#include <sidecar/CrashGuard.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <net/EventLoop.h>
+
+namespace papayaway::sidecar {
+namespace {
+
+/** Nodes whose guards hear each other. */
+class CrashGuardTest : public ::testing::Test
+{
+protected:
+  CrashGuardTest()
+    : mSink(open("/dev/null", O_WRONLY))
+    , mLog(mLoop, { .mDescriptor = mSink })
+  {
+    for (const char* const name : { "a", "b", "c", "d" }) {
+      mGuards.push_back(std::make_unique<CrashGuard>(
+        name,
+        [this](const PeerMessage& aMessage) { Spread(aMessage); },
+        mLog,
+        mMetrics));
+    }
+  }
+  ~CrashGuardTest() override { close(mSink); }
+
+  void Spread(const PeerMessage& aMessage)
+  {
+    for (const auto& guard : mGuards) {
+      if (const auto* crash = std::get_if<CrashMessage>(&aMessage)) {
+        guard->OnReport(*crash);
+      } else if (const auto* ran = std::get_if<SuspectRanMessage>(&aMessage)) {
+        guard->OnSuspectRan(*ran);
+      }
+    }
+  }
+
+  static CallMessage Call(const std::string& aPath)
+  {
+    return {
+      .mService = "s", .mRoute = "r", .mMethod = "GET", .mTarget = aPath
+    };
+  }
+
+  /** The target of a node crashes with these requests in flight. */
+  void Crash(std::size_t aNode, const std::vector<std::string>& aPaths)
+  {
+    const Millis now = SteadyNow();
+    for (const std::string& path : aPaths) {
+      mGuards[aNode]->OnLost(Call(path), now);
+    }
+    mGuards[aNode]->OnTargetGone("s", now);
+  }
+
+  EventLoop mLoop;
+  int mSink;
+  EventLog mLog;
+  SidecarMetrics mMetrics;
+  std::vector<std::unique_ptr<CrashGuard>> mGuards;
+};
+
+// Guards against a request that crashes one target after the other: after the
+// third crash no node sends it to a target any more.
+TEST_F(CrashGuardTest, RequestOfThreeCrashesIsQuarantinedEverywhere)
+{
+  Crash(0, { "/bad", "/one" });
+  Crash(1, { "/two", "/bad" });
+  EXPECT_FALSE(mGuards[3]->IsQuarantined(Call("/bad")));
+  Crash(2, { "/bad", "/three" });
+  for (const auto& guard : mGuards) {
+    EXPECT_TRUE(guard->IsQuarantined(Call("/bad")));
+    EXPECT_FALSE(guard->IsQuarantined(Call("/one")));
+    EXPECT_FALSE(guard->IsQuarantined(Call("/three")));
+  }
+}
+
+// Guards against a quarantine of what was beside the guilty request.
+TEST_F(CrashGuardTest, RequestsThatRanSinceAreInnocent)
+{
+  Crash(0, { "/bad", "/good" });
+  Crash(1, { "/bad", "/good" });
+  mGuards[2]->OnAnswered(Call("/good"));
+  for (const auto& guard : mGuards) {
+    EXPECT_TRUE(guard->IsQuarantined(Call("/bad")));
+    EXPECT_FALSE(guard->IsQuarantined(Call("/good")));
+  }
+}
+
+// Guards against resets that are taken for crashes: the target still accepts
+// connections, so OnTargetGone() is not called.
+TEST_F(CrashGuardTest, LostRequestsAloneAreNoCrash)
+{
+  for (int i = 0; i < 10; ++i) {
+    mGuards[0]->OnLost(Call("/reset"), SteadyNow());
+  }
+  EXPECT_FALSE(mGuards[0]->IsQuarantined(Call("/reset")));
+}
+
+TEST_F(CrashGuardTest, ReportsAreTakenOnce)
+{
+  const CrashMessage report{
+    .mReport = { .mId = "x/1", .mService = "s", .mFingerprints = { "f" } }
+  };
+  EXPECT_TRUE(mGuards[0]->OnReport(report));
+  EXPECT_FALSE(mGuards[0]->OnReport(report));
+}
+
+} // namespace
+} // namespace papayaway::sidecar
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -91,6 +91,9 @@
     .mBase = 4,
     .mDelta = { .mParts = { { .mFrom = 1, .mLength = 2 }, { .mBytes = "x" } },
                 .mHash = 99 } });
+  ExpectSame(CrashMessage{
+    .mReport = { .mId = "n/1", .mService = "s", .mFingerprints = { "f" } } });
+  ExpectSame(SuspectRanMessage{ .mFingerprint = "f" });
 }
 
 // Guards against a message of another program, or one that was cut, which
