Free the slots of requests whose answers a target has lost

The node went on counting these requests as running until their deadlines, so fast targets (57 ms a run) stood with 12 of 12 slots taken and 13 to 44 requests waiting up to 275 ms before they were refused; inner calls failed and with them 770 lot-history requests.

Ruled out: too little capacity (about 80 % of the remaining slots are needed), choice of slow targets (they got few requests).

Change: the load that a target tells with each answer shows how many of the open requests it still works on.

--- a/libs/gateway/include/gateway/SlotQueue.h
+++ b/libs/gateway/include/gateway/SlotQueue.h
@@ -58,6 +58,11 @@
   /** Takes in a request. */
   [[nodiscard]] SlotActions Offer(const SlotRequest& aRequest, Millis aNow);
 
+  /** Tells how many of the started requests hold no slot any more: the target
+   *  has ended them and their answers were lost. Their slots are given to
+   *  others. */
+  [[nodiscard]] SlotActions SetLost(int aCount, Millis aNow);
+
   /** Tells that a started request ended, which frees its slot. */
   [[nodiscard]] SlotActions OnFinished(Millis aNow);
 
@@ -74,7 +79,8 @@
   /** @return how long a request of this priority would wait for a slot. */
   [[nodiscard]] Millis ExpectedWait(int aPriority, Millis aRunTime) const;
 
-  [[nodiscard]] int Running() const { return mRunning; }
+  /** @return the started requests that hold a slot. */
+  [[nodiscard]] int Running() const { return mStarted - mLost; }
   [[nodiscard]] int Waiting() const
   {
     return static_cast<int>(mWaiting.size());
@@ -88,7 +94,8 @@
   void Fill(Millis aNow, SlotActions& aActions);
 
   int mSlots;
-  int mRunning = 0;
+  int mStarted = 0;
+  int mLost = 0;
   /** By priority, then by arrival. */
   std::vector<SlotRequest> mWaiting;
 };
--- a/libs/gateway/src/SlotQueue.cpp
+++ b/libs/gateway/src/SlotQueue.cpp
@@ -20,7 +20,7 @@
 Millis
 SlotQueue::ExpectedWait(int aPriority, Millis aRunTime) const
 {
-  if (mRunning < mSlots && mWaiting.empty()) {
+  if (Running() < mSlots && mWaiting.empty()) {
     return {};
   }
   Millis ahead = aRunTime;
@@ -36,11 +36,11 @@
 SlotQueue::Offer(const SlotRequest& aRequest, Millis aNow)
 {
   SlotActions actions;
-  if (mRunning < mSlots && mWaiting.empty()) {
+  if (Running() < mSlots && mWaiting.empty()) {
     if (aNow + aRequest.mRunTime > aRequest.mDeadline) {
       actions.mRefuse.push_back(aRequest.mId);
     } else {
-      ++mRunning;
+      ++mStarted;
       actions.mStart.push_back(aRequest.mId);
     }
     return actions;
@@ -65,23 +65,34 @@
 void
 SlotQueue::Fill(Millis aNow, SlotActions& aActions)
 {
-  while (mRunning < mSlots && !mWaiting.empty()) {
+  while (Running() < mSlots && !mWaiting.empty()) {
     const SlotRequest next = mWaiting.front();
     mWaiting.erase(mWaiting.begin());
     if (Hopeless(next, aNow, !mWaiting.empty())) {
       aActions.mRefuse.push_back(next.mId);
       continue;
     }
-    ++mRunning;
+    ++mStarted;
     aActions.mStart.push_back(next.mId);
   }
 }
 
+SlotActions
+SlotQueue::SetLost(int aCount, Millis aNow)
+{
+  SlotActions actions;
+  mLost = std::clamp(aCount, 0, std::min(mStarted, mSlots));
+  Fill(aNow, actions);
+  return actions;
+}
+
 SlotActions
 SlotQueue::OnFinished(Millis aNow)
 {
   SlotActions actions;
-  --mRunning;
+  --mStarted;
+  // It may have been one of the lost ones; the target's next report tells.
+  mLost = std::clamp(mLost, 0, mStarted);
   Fill(aNow, actions);
   return actions;
 }
--- a/libs/gateway/tests/SlotQueueTest.cpp
+++ b/libs/gateway/tests/SlotQueueTest.cpp
@@ -123,5 +123,36 @@
   EXPECT_EQ(queue.Running(), 0);
 }
 
+// Load pattern: a target loses a third of its answers. Guards against slots
+// that stay taken until the deadlines of requests which have long ended.
+TEST(SlotQueue, LostAnswersFreeTheirSlots)
+{
+  SlotQueue queue(2);
+  const auto request = [](std::uint64_t aId) {
+    return SlotRequest{ .mId = aId,
+                        .mDeadline = Millis{ 2000 },
+                        .mObjective = Millis{ 1000 },
+                        .mRunTime = Millis{ 100 },
+                        .mMostRunTime = Millis{ 150 } };
+  };
+  (void)queue.Offer(request(1), {});
+  (void)queue.Offer(request(2), {});
+  EXPECT_TRUE(queue.Offer(request(3), {}).mStart.empty());
+  EXPECT_EQ(queue.SetLost(1, Millis{ 200 }).mStart,
+            std::vector<std::uint64_t>{ 3 });
+  EXPECT_EQ(queue.Running(), 2);
+  // The lost one ends at its deadline; it freed its slot before.
+  (void)queue.SetLost(0, Millis{ 300 });
+  EXPECT_TRUE(queue.OnFinished(Millis{ 300 }).mStart.empty());
+  EXPECT_EQ(queue.Running(), 2);
+}
+
+TEST(SlotQueue, NoMoreSlotsAreFreedThanThereAre)
+{
+  SlotQueue queue(2);
+  (void)queue.SetLost(50, {});
+  EXPECT_EQ(queue.Running(), 0);
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/sidecar/include/sidecar/PlatformPort.h
+++ b/libs/sidecar/include/sidecar/PlatformPort.h
@@ -73,6 +73,16 @@
   std::string mResults;
 };
 
+/** What a target says of its own load with an answer. */
+struct TargetReport
+{
+  int mRunning = 0;
+  int mWaiting = 0;
+  int mSlots = 0;
+
+  bool operator==(const TargetReport&) const = default;
+};
+
 /**
  * How the platform spells what it says and hears. An implementation decodes
  * and encodes; it decides nothing.
@@ -89,6 +99,9 @@
   [[nodiscard]] virtual Expected<CheckIn> DecodeCheckIn(
     const std::string& aTargetId,
     const std::string& aBody) const = 0;
+  /** @return the load that an answer tells, or nothing if it tells none. */
+  [[nodiscard]] virtual std::optional<TargetReport> DecodeLoad(
+    const HttpHeaders& aHeaders) const = 0;
   [[nodiscard]] virtual Expected<gateway::DesiredState> DecodeDesiredState(
     const std::string& aText) const = 0;
   [[nodiscard]] virtual Expected<gateway::RolloutOrder> DecodeRollout(
--- a/libs/sidecar/include/sidecar/TargetGate.h
+++ b/libs/sidecar/include/sidecar/TargetGate.h
@@ -132,6 +132,8 @@
   void FreeSlot();
   void Observe(const Serving& aServing, int aStatus, Millis aTime);
   void RefuseWaiting(const char* aReason);
+  /** Compares what the target says it works on with the open requests. */
+  void OnReport(const TargetReport& aReport);
   /** @return how much slower the open runs show the target to be. */
   [[nodiscard]] double Slowdown() const;
   void OnTimer();
