Write nothing to the store for nodes that start again unchanged

Change: a stopping node whose target stays tells its neighbours only; a node that starts compares its record with the row and writes only what differs. Changes to a draining target are written at once again, because a process that starts in its place must not take a late check-in of that target for new.

--- a/libs/gateway/include/gateway/NodeRecord.h
+++ b/libs/gateway/include/gateway/NodeRecord.h
@@ -52,6 +52,15 @@
     return mLifetime != aOther.mLifetime ? mLifetime > aOther.mLifetime
                                          : mSequence > aOther.mSequence;
   }
+
+  /** @return whether both say the same, whichever is newer. */
+  [[nodiscard]] bool SaysTheSame(const NodeRecord& aOther) const
+  {
+    NodeRecord other = aOther;
+    other.mLifetime = mLifetime;
+    other.mSequence = mSequence;
+    return *this == other;
+  }
 };
 
 /**
--- a/libs/gateway/tests/RepeatBudgetTest.cpp
+++ b/libs/gateway/tests/RepeatBudgetTest.cpp
@@ -93,6 +93,20 @@
   EXPECT_EQ(directory.Find("n")->mLifetime, 2U);
 }
 
+// Guards against a paid write of each node that starts again unchanged.
+TEST(NodeRecord, RestartAloneSaysNothingNew)
+{
+  const NodeRecord before{
+    .mNode = "n", .mPeerAddress = "a:1", .mLifetime = 1, .mSequence = 9
+  };
+  NodeRecord after = before;
+  after.mLifetime = 2;
+  after.mSequence = 1;
+  EXPECT_TRUE(after.SaysTheSame(before));
+  after.mTarget = TargetInfo{ .mId = "t", .mState = TargetState::Ready };
+  EXPECT_FALSE(after.SaysTheSame(before));
+}
+
 // Guards against a node that links to itself: its address belonged to a node
 // whose record still stood in the store, and each message came back.
 TEST(NodeDirectory, LaterNodeTakesOverAnAddress)
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <base/Millis.h>
@@ -101,7 +102,7 @@
   }
 
   /** The record of this node has changed and is to be written.
-   *  @param aAtOnce whether the process ends soon. */
+   *  @param aAtOnce whether it does not wait for further changes. */
   void Publish(bool aAtOnce);
 
   /** A neighbour's calls are answered by the store again. */
@@ -159,6 +160,8 @@
   /** Whether the nodes' table was read after the first write of the record. */
   bool mReadSinceWrite = false;
   bool mRecordChanged = false;
+  /** What the row of this node holds, if it is known. */
+  std::optional<gateway::NodeRecord> mStoredRecord;
   /** Whether the version of the row is known, or that there is none. */
   bool mMayWrite = false;
   /** Whether the first write of the record is due or was tried. */
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -256,7 +256,16 @@
   ++mSequence;
   OnRecord(OwnRecord(), mSettings.mName);
   mMesh.Broadcast(RecordMessage{ OwnRecord() });
-  mSync.Publish(mStopping);
+  const auto& target = mGate.Target();
+  const bool targetLeaves =
+    target && target->mState != gateway::TargetState::Ready;
+  if (mStopping && !targetLeaves) {
+    // The process starts again beside the same target, and the row still tells
+    // where. Neighbours know that it stops.
+    return;
+  }
+  // A process that starts again must know at once that its target leaves.
+  mSync.Publish(targetLeaves);
 }
 
 void
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -249,6 +249,7 @@
           "bad_row",
           { { "key", row.mKey }, { "reason", record.error().mMessage } });
       } else if (record->mNode == mOptions.mNode) {
+        mStoredRecord = *record;
         mHandlers.mOwnSuperseded(*record);
       } else {
         mHandlers.mRecord(*record);
@@ -287,6 +288,7 @@
     if (!present && mRowVersions[own] != 0) {
       // An operator removed the row.
       mRowVersions[own] = 0;
+      mStoredRecord.reset();
       mRecordChanged = true;
     }
     if (present) {
@@ -332,19 +334,26 @@
   if (mWriting || !mRecordChanged || !mMayWrite) {
     return;
   }
-  mWriting = true;
   mRecordChanged = false;
+  const NodeRecord record = mHandlers.mOwnRecord();
+  if (mStoredRecord && mStoredRecord->SaysTheSame(record)) {
+    // A process that starts again beside the same target.
+    return;
+  }
+  mWriting = true;
+  mWriteAtOnce = false;
   const std::string key = std::string(kNodePrefix) + mOptions.mNode;
   StoreChange change;
   change.mConditions.push_back(
     { .mTable = kTable, .mKey = key, .mVersion = mRowVersions[key] });
-  change.mWrites.push_back({ .mTable = kTable,
-                             .mKey = key,
-                             .mValue = EncodeRecord(mHandlers.mOwnRecord()) });
-  mStore.Commit(change, [this, key](Result aResult) {
+  change.mWrites.push_back(
+    { .mTable = kTable, .mKey = key, .mValue = EncodeRecord(record) });
+  mStore.Commit(change, [this, key, record](Result aResult) {
     OnAnswer("write_record", aResult);
     mWriting = false;
+    mStoredRecord.reset();
     if (aResult) {
+      mStoredRecord = record;
       mRowVersions[key] = std::max(mRowVersions[key], aResult->mVersion);
       if (!mReadSinceWrite) {
         mReadSinceWrite = true;
