Split the tick of the sidecar and the load of the gate from their files

Change: SidecarTick.cpp and TargetGateLoad.cpp hold the periodic work and what concerns the target's load; code moved unchanged.

--- a/libs/gateway/tests/PackedTextTest.cpp
+++ b/libs/gateway/tests/PackedTextTest.cpp
@@ -41,7 +41,9 @@
   RC_ASSERT(*text == aText);
 }
 
-RC_GTEST_PROP(PackedText, AnyBytesGiveATextOrAnError, (std::string aBytes))
+RC_GTEST_PROP(PackedText,
+              AnyBytesGiveATextOrAnError,
+              (const std::string& aBytes))
 {
   const auto text = Unpack(aBytes);
   RC_ASSERT(text || !text.error().mMessage.empty());
--- a/libs/sidecar/include/sidecar/TargetGate.h
+++ b/libs/sidecar/include/sidecar/TargetGate.h
@@ -110,6 +110,9 @@
   }
 
 private:
+  /** The weight of a run in the part of good runs: the last 15 or so count. */
+  static constexpr double kSuccessWeight = 0.07;
+
   struct Serving
   {
     CallMessage mCall;
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -12,35 +12,16 @@
 
 namespace {
 
-constexpr Millis kTickPeriod{ 50 };
 /** After its start a node waits this long for neighbours that tell it the
  *  desired state; they need about 0.6 s after all nodes lost power. */
 constexpr Millis kReadAlone{ 1600 };
 /** Nodes that read it themselves do so at different times. */
 constexpr double kReadAloneSpread = 0.6;
-/** How often the load is told to nodes of the own data centre... */
-constexpr Millis kLoadPeriod{ 250 };
-/** ...and to all nodes, also unchanged, which shows that the link works. */
-constexpr Millis kFarLoadPeriod{ 1000 };
-constexpr Millis kRolloutPeriod{ 200 };
 /** How much later than its period a target's first check-in may come. */
 constexpr Millis kCheckInSlack{ 200 };
 /** The part of the fleet's repeat share that nodes use up by themselves. The
  *  rest is for the calls that repeated requests make, which count too. */
 constexpr double kOwnRepeatPart = 0.4;
-/** After the signal to stop, callers still come for this long: they are sent
- *  elsewhere after two readiness questions, a second apart. */
-constexpr Millis kStopAccepting{ 3000 };
-/** What is not finished this long before the kill is given up. */
-constexpr Millis kStopReserve{ 400 };
-
-/** Raises a counter to a total that is kept elsewhere. */
-void
-CountUp(prometheus::Counter& aCounter, std::uint64_t aTotal)
-{
-  aCounter.Increment(
-    std::max(0.0, static_cast<double>(aTotal) - aCounter.Value()));
-}
 
 } // namespace
 
@@ -444,90 +425,6 @@
   return rank;
 }
 
-LoadMessage
-Sidecar::Impl::OwnLoad() const
-{
-  return { .mLoad = mGate.Load(),
-           .mStateVersion = mTable ? mTable->State().mVersion : 0,
-           .mFollow = mSync.Follow() };
-}
-
-void
-Sidecar::Impl::TellLoad(Millis aNow)
-{
-  const LoadMessage message = OwnLoad();
-  mTargets.OnLoad(mSettings.mName, message.mLoad);
-  const bool all = aNow - mLastFarLoad >= kFarLoadPeriod;
-  if (all) {
-    mLastFarLoad = aNow;
-    mToldLoad = message;
-    mMesh.Broadcast(message);
-    return;
-  }
-  if (mToldLoad && *mToldLoad == message) {
-    return;
-  }
-  mToldLoad = message;
-  SendNear(message);
-}
-
-void
-Sidecar::Impl::Tick()
-{
-  const Millis now = SteadyNow();
-  mMetrics.mLoopLag.Set(std::max(0.0, (now - mLastTick - kTickPeriod).mCount));
-  mLastTick = now;
-  mMesh.Tick(now);
-  mTargets.OnLoad(mSettings.mName, mGate.Load());
-  if (now - mLastLoad >= kLoadPeriod) {
-    mLastLoad = now;
-    DecideFollowing(now);
-    mCrashes.OnTick(WallNow());
-    if (!mTable && now >= mReadAloneAt && !mSettings.mFirstStart) {
-      mSync.ReadOrdersOnce();
-    }
-    TellLoad(now);
-    TellLoads(now);
-    const gateway::TargetLoad load = mGate.Load();
-    mMetrics.mRunning.Set(load.mRunning);
-    mMetrics.mWaiting.Set(load.mWaiting);
-    mMetrics.mCallers.Set(static_cast<double>(mCallers->Connections()));
-    mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
-    mMetrics.mStateAge.Set((now - mStateSince).mCount / 1000);
-    CountUp(mMetrics.mLogDropped, mLog.Dropped());
-    CountUp(mMetrics.mTargetConnections, mGate.ConnectionsOpened());
-  }
-  if (now - mLastRollout >= kRolloutPeriod) {
-    mLastRollout = now;
-    mRollouts.Tick(mSettings.mName, mLifetime, now);
-  }
-  if (mStopping) {
-    ContinueStop(now);
-  }
-}
-
-void
-Sidecar::Impl::ContinueStop(Millis aNow)
-{
-  const Millis age = aNow - mStopBegan;
-  if (age < kStopAccepting) {
-    return;
-  }
-  mCallers->StopAccepting();
-  mCallers->CloseIdle();
-  const bool idle = mCallers->InFlight() == 0 && mPeerCalls.empty();
-  if (!idle && age < mSettings.mGrace - kStopReserve) {
-    return;
-  }
-  mTick.Stop();
-  mLog.Change(
-    "node",
-    "stopped",
-    { { "after_ms", age.Whole() }, { "unfinished", mCallers->InFlight() } });
-  mLog.Flush();
-  mStopped();
-}
-
 Sidecar::Sidecar(EventLoop& aLoop,
                  const SidecarSettings& aSettings,
                  const PlatformPort& aPort,
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -24,6 +24,9 @@
 
 namespace papayaway::sidecar {
 
+/** Links, loads and rollouts are looked after this often. */
+constexpr Millis kTickPeriod{ 50 };
+
 /** The parts of a sidecar and how they are connected. */
 struct Sidecar::Impl
 {
