Hold requests of a starting node, tell loads when they matter, spare a failing store

Ruled out: late check-ins of targets (known 0.02 s after the start). Change: gateway::StartupQueue holds such requests for 0.5 s at most, 1.2 s after the start at the latest; later ones are refused at once as before. Offers to further targets count from then.

Cause: each node told its load to each neighbour four times a second, because the mean run time always differs a little, and encoded it for each of them. Change: gateway::LoadNews tells a load when it changes a choice, or after 1 s (1.5 s to other data centres); messages to neighbours are encoded once.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -15,6 +15,7 @@
 #include <gateway/RepeatBudget.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/RunTimes.h>
+#include <gateway/StartupQueue.h>
 #include <gateway/TargetChoice.h>
 #include <http/CallerServer.h>
 #include <net/EventLoop.h>
@@ -72,7 +73,8 @@
   Dispatcher& operator=(const Dispatcher&) = delete;
   ~Dispatcher();
 
-  /** Brings a desired state into force for requests that come from now on. */
+  /** Brings a desired state into force for requests that come from now on and
+   *  for those that wait for the first one. */
   void SetState(std::shared_ptr<gateway::RoutingTable> aTable);
 
   void OnRequest(const std::shared_ptr<CallerExchange>& aExchange);
@@ -96,6 +98,9 @@
     std::string mRequestId;
     HttpHeaders mHeaders;
     Millis mArrived;
+    /** When the first target was looked for; later than its arrival if it
+     *  waited for the desired state. */
+    Millis mRouted;
     /** When the current attempt began. */
     Millis mSent;
     Millis mDeadline;
@@ -115,6 +120,23 @@
     std::optional<CallerResponse> mFailed;
   };
 
+  /** A request that waits for the first desired state or for a target. */
+  struct HeldRequest
+  {
+    std::shared_ptr<CallerExchange> mExchange;
+    Millis mArrived;
+  };
+
+  /** @return whether the request waits until this node, which has just
+   *    started, knows the desired state and a target. */
+  bool TryHold(const std::shared_ptr<CallerExchange>& aExchange,
+               Millis aArrived);
+  void ReleaseHeld();
+  void OnHoldTimer();
+  /** Refuses a request that can't be routed yet. */
+  void RefuseEarly(CallerExchange& aExchange);
+  [[nodiscard]] bool HasTarget(const std::string& aService) const;
+  void Route(const std::shared_ptr<CallerExchange>& aExchange, Millis aArrived);
   void Dispatch(std::uint64_t aId);
   /** @return how long the route's requests take, relative to the service's. */
   [[nodiscard]] double RunRatio(const ActiveRequest& aActive) const;
@@ -145,6 +167,9 @@
   gateway::RunTimes mTimes;
   gateway::RunTimes mServiceTimes;
   std::shared_ptr<gateway::RoutingTable> mTable;
+  gateway::StartupQueue mStartup;
+  std::map<std::uint64_t, HeldRequest> mHeld;
+  Timer mHoldTimer;
   std::map<std::uint64_t, ActiveRequest> mActive;
   std::set<std::pair<Millis, std::uint64_t>> mDeadlines;
   Timer mTimer;
--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -87,13 +87,16 @@
   /** Writes to one link of each linked node. */
   void Broadcast(const PeerMessage& aMessage);
 
+  /** The same for those of the nodes that aWanted picks by name. */
+  void BroadcastTo(const std::function<bool(const std::string&)>& aWanted,
+                   const PeerMessage& aMessage);
+
   /** @return whether opening a link to the node failed a moment ago. */
   [[nodiscard]] bool Failing(const std::string& aNode) const;
 
   /** @return whether calls can be sent to the node now. */
   [[nodiscard]] bool Reachable(const std::string& aNode) const;
 
-  [[nodiscard]] std::vector<std::string> Linked() const;
   [[nodiscard]] std::size_t LinkCount() const { return mLinks.size(); }
 
   /** Checks silence and opens missing links. Called every 100 ms or so. */
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -26,6 +26,9 @@
 constexpr double kRepeatRuns = 1.2;
 /** The target's own end at the deadline has this much time to arrive. */
 constexpr Millis kAnswerGrace{ 80 };
+/** How often a node that has just started looks for a target for the requests
+ *  that wait for one. */
+constexpr Millis kHoldPeriod{ 20 };
 /** While this node knows no desired state or no target. */
 constexpr Millis kUnknownPause{ 300 };
 
@@ -49,6 +52,8 @@
   : mOptions(std::move(aOptions))
   , mParts(std::move(aParts))
   , mBudget(mOptions.mRepeats)
+  , mStartup({}, SteadyNow())
+  , mHoldTimer(aLoop, [this] { OnHoldTimer(); })
   , mTimer(aLoop, [this] { OnTimer(); })
 {
 }
@@ -59,18 +64,93 @@
 Dispatcher::SetState(std::shared_ptr<gateway::RoutingTable> aTable)
 {
   mTable = std::move(aTable);
+  ReleaseHeld();
 }
 
 void
 Dispatcher::OnRequest(const std::shared_ptr<CallerExchange>& aExchange)
+{
+  const Millis now = SteadyNow();
+  if (mTable) {
+    Route(aExchange, now);
+  } else if (!TryHold(aExchange, now)) {
+    RefuseEarly(*aExchange);
+  }
+}
+
+bool
+Dispatcher::TryHold(const std::shared_ptr<CallerExchange>& aExchange,
+                    Millis aArrived)
+{
+  const std::optional<Millis> patience = TimeOf(
+    aExchange->Request().mHeaders.Value(mParts.mPort.Headers().mTimeLeft));
+  const std::uint64_t id = mNextId++;
+  if (!mStartup.TryHold(id, patience, aArrived, SteadyNow())) {
+    return false;
+  }
+  if (mHeld.empty()) {
+    mHoldTimer.StartRepeating(kHoldPeriod);
+  }
+  mHeld[id] = { .mExchange = aExchange, .mArrived = aArrived };
+  aExchange->OnAbandoned([this, id] {
+    mStartup.Remove(id);
+    mHeld.erase(id);
+  });
+  return true;
+}
+
+void
+Dispatcher::ReleaseHeld()
+{
+  for (const std::uint64_t id : mStartup.TakeAll()) {
+    const HeldRequest held = std::move(mHeld.extract(id).mapped());
+    Route(held.mExchange, held.mArrived);
+  }
+}
+
+void
+Dispatcher::OnHoldTimer()
+{
+  for (const std::uint64_t id : mStartup.TakeExpired(SteadyNow())) {
+    const HeldRequest held = std::move(mHeld.extract(id).mapped());
+    RefuseEarly(*held.mExchange);
+  }
+  if (mTable) {
+    ReleaseHeld();
+  }
+  if (mHeld.empty()) {
+    mHoldTimer.Stop();
+  }
+}
+
+void
+Dispatcher::RefuseEarly(CallerExchange& aExchange)
+{
+  const std::string_view id =
+    aExchange.Request().mHeaders.Value(mParts.mPort.Headers().mRequestId);
+  Refuse(aExchange,
+         std::string(id),
+         503,
+         mTable ? "no_target" : "no_desired_state",
+         kUnknownPause);
+}
+
+bool
+Dispatcher::HasTarget(const std::string& aService) const
+{
+  return !mParts.mTargets
+            .Candidates(
+              { .mService = aService, .mVersion = {}, .mExcluded = {} })
+            .empty();
+}
+
+void
+Dispatcher::Route(const std::shared_ptr<CallerExchange>& aExchange,
+                  Millis aArrived)
 {
   const HttpMessage& request = aExchange->Request();
   const HeaderNames& names = mParts.mPort.Headers();
   std::string requestId(request.mHeaders.Value(names.mRequestId));
-  if (!mTable) {
-    Refuse(*aExchange, requestId, 503, "no_desired_state", kUnknownPause);
-    return;
-  }
   const std::string_view path =
     std::string_view(request.mTarget).substr(0, request.mTarget.find('?'));
   gateway::ActiveRule* const rule =
@@ -90,21 +170,26 @@
   const Millis now = SteadyNow();
   const std::size_t part = rule->mTurns.Next();
   const std::string& service = rule->mRule.mDestinations.at(part).mService;
+  if (mStartup.IsOpen(now) && !HasTarget(service) &&
+      TryHold(aExchange, aArrived)) {
+    return;
+  }
   const Millis patience = TimeOf(request.mHeaders.Value(names.mTimeLeft))
                             .value_or(rule->mRule.mTimeout);
   const std::uint64_t id = mNextId++;
   ActiveRequest& active = mActive[id];
-  active =
-    ActiveRequest{ .mExchange = aExchange,
-                   .mTable = mTable,
-                   .mRule = &rule->mRule,
-                   .mService = service,
-                   .mVersion = mParts.mDrawVersion(service),
-                   .mRequestId = std::move(requestId),
-                   .mHeaders = EndToEndHeaders(request.mHeaders),
-                   .mArrived = now,
-                   .mDeadline = now + std::min(patience, rule->mRule.mTimeout),
-                   .mPatience = patience };
+  active = ActiveRequest{ .mExchange = aExchange,
+                          .mTable = mTable,
+                          .mRule = &rule->mRule,
+                          .mService = service,
+                          .mVersion = mParts.mDrawVersion(service),
+                          .mRequestId = std::move(requestId),
+                          .mHeaders = EndToEndHeaders(request.mHeaders),
+                          .mArrived = aArrived,
+                          .mRouted = now,
+                          .mDeadline =
+                            aArrived + std::min(patience, rule->mRule.mTimeout),
+                          .mPatience = patience };
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
@@ -283,7 +368,7 @@
     const bool quarantined = active.mLast.mReason == "quarantined";
     const bool early =
       !quarantined &&
-      now < active.mArrived + active.mRule->mObjective * kOfferPart;
+      now < active.mRouted + active.mRule->mObjective * kOfferPart;
     if (++active.mRefusals < kMaxRefusals && early) {
       Dispatch(aId);
       return;
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -258,10 +258,19 @@
 
 void
 PeerMesh::Broadcast(const PeerMessage& aMessage)
+{
+  BroadcastTo([](const std::string&) { return true; }, aMessage);
+}
+
+void
+PeerMesh::BroadcastTo(const std::function<bool(const std::string&)>& aWanted,
+                      const PeerMessage& aMessage)
 {
   const std::string bytes = EncodeMessage(aMessage);
   for (const auto& entry : mByNode) {
-    mLinks.at(Best(entry.first)).mSocket->Send(bytes);
+    if (aWanted(entry.first)) {
+      mLinks.at(Best(entry.first)).mSocket->Send(bytes);
+    }
   }
 }
 
@@ -272,16 +281,6 @@
   return id != 0 && SteadyNow() - mLinks.at(id).mHeard < mOptions.mSuspectAfter;
 }
 
-std::vector<std::string>
-PeerMesh::Linked() const
-{
-  std::vector<std::string> nodes;
-  for (const auto& entry : mByNode) {
-    nodes.push_back(entry.first);
-  }
-  return nodes;
-}
-
 LinkId
 PeerMesh::Open(const std::string& aNode,
                const std::string& aAddress,
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -279,7 +279,7 @@
   if (!IsNear(aRecord.mNode) && !IsNear(aFrom)) {
     SendNear(RecordMessage{ aRecord });
   } else if (IsNear(aRecord.mNode) && Speaks()) {
-    SendToOtherSpeakers(RecordMessage{ aRecord }, true);
+    SendToOtherSpeakers(RecordMessage{ aRecord });
   }
   mLog.Change(
     "mesh",
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <base/Random.h>
+#include <gateway/LoadNews.h>
 #include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
 #include <http/CallerServer.h>
@@ -27,6 +28,13 @@
 /** Links, loads and rollouts are looked after this often. */
 constexpr Millis kTickPeriod{ 50 };
 
+/** What some nodes were told of the loads of targets, by node. */
+struct LoadsTold
+{
+  Millis mAt;
+  std::map<std::string, gateway::LoadNews> mNews;
+};
+
 /** The parts of a sidecar and how they are connected. */
 struct Sidecar::Impl
 {
@@ -61,8 +69,10 @@
   Millis mBehindSince;
   Millis mAskedAt;
   Millis mStarted;
-  Millis mLastNearLoads;
-  Millis mLastFarLoads;
+  /** What nodes of the region and of others were told of the loads of the own
+   *  data centre. */
+  LoadsTold mNearLoads;
+  LoadsTold mFarLoads;
   /** How nodes of the own data centre get on with following the store, as
    *  they said. */
   std::map<std::string, gateway::FollowState> mFollowStates;
@@ -77,6 +87,8 @@
   bool mOrderFromPeer = false;
   std::uint64_t mLifetime;
   std::uint64_t mSequence = 1;
+  /** What the nodes of the data centre were told of the local target. */
+  gateway::LoadNews mLoadNews;
   std::optional<LoadMessage> mToldLoad;
   /** Calls of other nodes at the local target, by link and call id. */
   std::map<std::pair<LinkId, std::uint64_t>, TargetGate::CallId> mPeerCalls;
@@ -116,6 +128,8 @@
   [[nodiscard]] LoadMessage OwnLoad() const;
   void TellLoad(Millis aNow);
   void TellLoads(Millis aNow);
+  /** @return the loads of the own data centre that are news to those told. */
+  LoadsMessage TakeNews(LoadsTold& aTold, Millis aNow);
   void OnLoads(const std::string& aFrom, const LoadsMessage& aMessage);
   void OnEvidence(const std::string& aFrom, const EvidenceMessage& aMessage);
   /** Sends news of this node, or of aFrom, on to all nodes. */
@@ -130,7 +144,10 @@
   [[nodiscard]] std::string SpeakerOf(const std::string& aDataCentre) const;
   [[nodiscard]] bool Speaks() const;
   void SendNear(const PeerMessage& aMessage);
-  void SendToOtherSpeakers(const PeerMessage& aMessage, bool aFarToo);
+  /** Sends to the speakers of the other data centres of the region, or of
+   *  other regions. */
+  void SendToSpeakers(const PeerMessage& aMessage, bool aOtherRegions);
+  void SendToOtherSpeakers(const PeerMessage& aMessage);
   [[nodiscard]] std::size_t RankFor(const std::string& aService) const;
   void ContinueStop(Millis aNow);
 };
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -17,6 +17,8 @@
 /** How often loads are told to other data centres, near and far. */
 constexpr Millis kNearLoadsPeriod{ 500 };
 constexpr Millis kFarLoadsPeriod{ 1000 };
+/** A load that does not change is told to other data centres this often. */
+constexpr Millis kLongestLoads{ 1500 };
 /** Older news of a target elsewhere is too old to send calls there. */
 constexpr Millis kFreshLoad{ 3500 };
 
@@ -94,20 +96,24 @@
 void
 Sidecar::Impl::SendNear(const PeerMessage& aMessage)
 {
-  for (const std::string& node : mMesh.Linked()) {
-    if (IsNear(node)) {
-      mMesh.Send(node, aMessage);
-    }
-  }
+  mMesh.BroadcastTo([this](const std::string& aNode) { return IsNear(aNode); },
+                    aMessage);
 }
 
 void
-Sidecar::Impl::SendToOtherSpeakers(const PeerMessage& aMessage, bool aFarToo)
+Sidecar::Impl::SendToOtherSpeakers(const PeerMessage& aMessage)
+{
+  SendToSpeakers(aMessage, false);
+  SendToSpeakers(aMessage, true);
+}
+
+void
+Sidecar::Impl::SendToSpeakers(const PeerMessage& aMessage, bool aOtherRegions)
 {
   std::set<std::string> dataCentres;
   for (const auto& [node, record] : mTargets.Nodes().All()) {
     if (record.mDataCentre != mSettings.mDataCentre &&
-        (aFarToo || record.mRegion == mSettings.mRegion)) {
+        (record.mRegion != mSettings.mRegion) == aOtherRegions) {
       dataCentres.insert(record.mDataCentre);
     }
   }
@@ -122,15 +128,40 @@
 void
 Sidecar::Impl::TellLoads(Millis aNow)
 {
-  if (aNow - mLastNearLoads < kNearLoadsPeriod || !Speaks()) {
+  const bool near = aNow - mNearLoads.mAt >= kNearLoadsPeriod;
+  const bool far = aNow - mFarLoads.mAt >= kFarLoadsPeriod;
+  if ((!near && !far) || !Speaks()) {
     return;
   }
-  mLastNearLoads = aNow;
-  const bool far = aNow - mLastFarLoads >= kFarLoadsPeriod;
+  if (near) {
+    if (const auto news = TakeNews(mNearLoads, aNow); !news.mLoads.empty()) {
+      SendToSpeakers(news, false);
+    }
+  }
   if (far) {
-    mLastFarLoads = aNow;
+    if (const auto news = TakeNews(mFarLoads, aNow); !news.mLoads.empty()) {
+      SendToSpeakers(news, true);
+    }
+  }
+}
+
+LoadsMessage
+Sidecar::Impl::TakeNews(LoadsTold& aTold, Millis aNow)
+{
+  aTold.mAt = aNow;
+  LoadsMessage message;
+  for (const auto& [node, load] : mTargets.OwnLoads()) {
+    gateway::LoadNews& news =
+      aTold.mNews
+        .try_emplace(node,
+                     gateway::LoadNewsOptions{ .mLongest = kLongestLoads })
+        .first->second;
+    if (news.IsNews(load, aNow)) {
+      news.OnTold(load, aNow);
+      message.mLoads.emplace(node, load);
+    }
   }
-  SendToOtherSpeakers(LoadsMessage{ .mLoads = mTargets.OwnLoads() }, far);
+  return message;
 }
 
 void
@@ -154,7 +185,7 @@
     SendNear(aMessage);
   }
   if ((aFrom == mSettings.mName || IsNear(aFrom)) && Speaks()) {
-    SendToOtherSpeakers(aMessage, true);
+    SendToOtherSpeakers(aMessage);
   }
 }
 
@@ -167,7 +198,7 @@
     SendNear(aMessage);
   }
   if (IsNear(aMessage.mNode) && Speaks()) {
-    SendToOtherSpeakers(aMessage, true);
+    SendToOtherSpeakers(aMessage);
   }
 }
 
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -41,17 +41,20 @@
   const LoadMessage message = OwnLoad();
   mTargets.OnLoad(mSettings.mName, message.mLoad);
   const bool all = aNow - mLastFarLoad >= kFarLoadPeriod;
+  const bool changed = !mToldLoad ||
+                       mToldLoad->mStateVersion != message.mStateVersion ||
+                       mToldLoad->mFollow != message.mFollow;
+  if (!all && !changed && !mLoadNews.IsNews(message.mLoad, aNow)) {
+    return;
+  }
+  mToldLoad = message;
+  mLoadNews.OnTold(message.mLoad, aNow);
   if (all) {
     mLastFarLoad = aNow;
-    mToldLoad = message;
     mMesh.Broadcast(message);
-    return;
+  } else {
+    SendNear(message);
   }
-  if (mToldLoad && *mToldLoad == message) {
-    return;
-  }
-  mToldLoad = message;
-  SendNear(message);
 }
 
 void
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -371,7 +371,8 @@
         aResult.error().mFailure == StoreFailure::OutcomeUnknown) {
       mNodesTimer.StartOnce(RetryPause(mOptions.mRetryMost));
     } else {
-      mRecordTimer.StartOnce(RetryPause(mOptions.mRecordRetryMost));
+      mRecordTimer.StartOnce(mOptions.mRecordRetry *
+                             (0.5 + 0.5 * UniformFraction(mRandom)));
     }
   });
 }
