--- a/libs/http/tests/LoopFixture.h
+++ b/libs/http/tests/LoopFixture.h
@@ -8,35 +8,20 @@
 #include <gtest/gtest.h>
 
 #include <http/TcpStream.h>
+#include <lab/LoopWait.h>
 
 namespace papayaway {
 
-/** Runs the event loop until a condition holds or a second has passed. */
+/** Runs the event loop until a condition holds or two seconds have passed. */
 class LoopFixture : public ::testing::Test
 {
 protected:
   [[nodiscard]] bool RunUntil(const std::function<bool()>& aDone)
   {
-    bool done = false;
-    Timer poll(mLoop, [&] {
-      if (aDone()) {
-        done = true;
-        mLoop.Stop();
-      }
-    });
-    Timer limit(mLoop, [&] { mLoop.Stop(); });
-    poll.StartRepeating(Millis{ 2 });
-    limit.StartOnce(Seconds(2));
-    mLoop.Run();
-    return done;
+    return papayaway::RunUntil(mLoop, aDone, Seconds(2));
   }
 
-  void RunFor(Millis aTime)
-  {
-    Timer end(mLoop, [&] { mLoop.Stop(); });
-    end.StartOnce(aTime);
-    mLoop.Run();
-  }
+  void RunFor(Millis aTime) { papayaway::RunFor(mLoop, aTime); }
 
   EventLoop mLoop;
 };
--- a/libs/lab/src/Cluster.cpp
+++ b/libs/lab/src/Cluster.cpp
@@ -10,6 +10,8 @@
 
 #include <unistd.h>
 
+#include <lab/LoopWait.h>
+
 namespace papayaway {
 
 namespace {
@@ -284,9 +286,7 @@
 void
 Cluster::RunFor(Millis aTime)
 {
-  Timer timer(mLoop, [this] { mLoop.Stop(); });
-  timer.StartOnce(aTime);
-  mLoop.Run();
+  papayaway::RunFor(mLoop, aTime);
 }
 
 } // namespace papayaway
--- a/libs/node/tests/PeerLinksTest.cpp
+++ b/libs/node/tests/PeerLinksTest.cpp
@@ -1,11 +1,12 @@
 #include "PeerLinks.h"
 
-#include <memory>
+#include <functional>
 #include <optional>
-#include <vector>
+#include <string>
 
 #include <gtest/gtest.h>
 
+#include <lab/LoopWait.h>
 #include <net/EventLoop.h>
 
 namespace papayaway {
@@ -50,23 +51,25 @@
 protected:
   bool RunUntil(const std::function<bool()>& aDone, Millis aLimit)
   {
-    bool done = false;
-    Timer poll(mLoop, [&] {
-      if (aDone()) {
-        done = true;
-        mLoop.Stop();
-      }
-    });
-    Timer limit(mLoop, [&] { mLoop.Stop(); });
-    poll.StartRepeating(Millis{ 5 });
-    limit.StartOnce(aLimit);
-    mLoop.Run();
-    return done;
+    return papayaway::RunUntil(mLoop, aDone, aLimit);
+  }
+
+  /** Opens a mesh link from the first node to the second one. */
+  void Connect()
+  {
+    ASSERT_TRUE(mOne.mLinks.Listen());
+    const auto address = mTwo.mLinks.Listen();
+    ASSERT_TRUE(address);
+    mAddressOfTwo = *address;
+    mOne.mLinks.SetWanted({ { "two", mAddressOfTwo } });
+    ASSERT_TRUE(
+      RunUntil([&] { return mTwo.mLinks.IsLinked("one"); }, Seconds(5)));
   }
 
   EventLoop mLoop;
   Peer mOne{ mLoop, "one" };
   Peer mTwo{ mLoop, "two" };
+  std::string mAddressOfTwo;
 };
 
 // Guards against calls lost because the overlay changes: a mesh link that is
@@ -75,12 +78,7 @@
 // joined).
 TEST_F(PeerLinksTest, UnwantedMeshLinkKeepsItsCalls)
 {
-  ASSERT_TRUE(mOne.mLinks.Listen());
-  const auto address = mTwo.mLinks.Listen();
-  ASSERT_TRUE(address);
-  mOne.mLinks.SetWanted({ { "two", *address } });
-  ASSERT_TRUE(
-    RunUntil([&] { return mTwo.mLinks.IsLinked("one"); }, Seconds(5)));
+  ASSERT_NO_FATAL_FAILURE(Connect());
   ASSERT_NE(mOne.mLinks.SendToNode("two", "", Call{ .mId = 1 }), 0U);
   ASSERT_NE(mTwo.mLinks.SendToNode("one", "", Call{ .mId = 2 }), 0U);
   ASSERT_TRUE(
@@ -103,16 +101,11 @@
 // Guards against a link that left the mesh and can't be replaced.
 TEST_F(PeerLinksTest, MeshLinkIsOpenedAgainWhenItIsWantedAgain)
 {
-  ASSERT_TRUE(mOne.mLinks.Listen());
-  const auto address = mTwo.mLinks.Listen();
-  ASSERT_TRUE(address);
-  mOne.mLinks.SetWanted({ { "two", *address } });
-  ASSERT_TRUE(
-    RunUntil([&] { return mTwo.mLinks.IsLinked("one"); }, Seconds(5)));
+  ASSERT_NO_FATAL_FAILURE(Connect());
   mOne.mLinks.SetWanted({});
   ASSERT_TRUE(
     RunUntil([&] { return mOne.mLinks.MeshLinks().empty(); }, Seconds(15)));
-  mOne.mLinks.SetWanted({ { "two", *address } });
+  mOne.mLinks.SetWanted({ { "two", mAddressOfTwo } });
   EXPECT_TRUE(RunUntil(
     [&] {
       return mOne.mLinks.MeshLinks().size() == 1 &&
--- a/libs/sidecar/include/sidecar/CrashGuard.h
+++ b/libs/sidecar/include/sidecar/CrashGuard.h
@@ -49,6 +49,12 @@
    *  @return whether it is news to pass on. */
   bool OnSuspectRan(const SuspectRanMessage& aMessage);
 
+  /** Takes in what a neighbour has quarantined. */
+  void OnQuarantined(const QuarantineMessage& aMessage);
+
+  /** @return the requests that are quarantined now. */
+  [[nodiscard]] QuarantineMessage Quarantined() const;
+
   /** @return whether the request must not reach a target. */
   [[nodiscard]] bool IsQuarantined(const CallMessage& aCall) const;
 
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -87,6 +87,9 @@
   void OnLinkLost(LinkId aLink, bool aWasOpen);
 
 private:
+  /** Asked of callers while this node knows no desired state or no target. */
+  static constexpr Millis kUnknownPause{ 300 };
+
   struct ActiveRequest
   {
     std::shared_ptr<CallerExchange> mExchange;
@@ -136,6 +139,9 @@
   /** Refuses a request that can't be routed yet. */
   void RefuseEarly(CallerExchange& aExchange);
   [[nodiscard]] bool HasTarget(const std::string& aService) const;
+  /** @return how long the caller waits, if it says so. */
+  [[nodiscard]] std::optional<Millis> PatienceOf(
+    const HttpMessage& aRequest) const;
   void Route(const std::shared_ptr<CallerExchange>& aExchange, Millis aArrived);
   void Dispatch(std::uint64_t aId);
   /** @return how long the route's requests take, relative to the service's. */
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -171,6 +171,14 @@
   bool operator==(const SuspectRanMessage&) const = default;
 };
 
+/** The quarantined requests, for a node that has just started. */
+struct QuarantineMessage
+{
+  std::vector<QuarantineFact> mFacts;
+
+  bool operator==(const QuarantineMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -182,7 +190,8 @@
                                  StateQuestion,
                                  OrderMessage,
                                  CrashMessage,
-                                 SuspectRanMessage>;
+                                 SuspectRanMessage,
+                                 QuarantineMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/src/CrashGuard.cpp
+++ b/libs/sidecar/src/CrashGuard.cpp
@@ -1,5 +1,6 @@
 #include <sidecar/CrashGuard.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace papayaway::sidecar {
@@ -125,6 +126,27 @@
   return true;
 }
 
+void
+CrashGuard::OnQuarantined(const QuarantineMessage& aMessage)
+{
+  for (const QuarantineFact& fact : aMessage.mFacts) {
+    if (mQuarantine.IsQuarantined(fact.mFingerprint, WallNow())) {
+      continue;
+    }
+    mWatches = true;
+    mWatchesUntil = std::max(mWatchesUntil, fact.mExpires);
+    mQuarantine.OnFact(fact, WallNow());
+    Tell({ fact });
+  }
+}
+
+QuarantineMessage
+CrashGuard::Quarantined() const
+{
+  return { .mFacts = mWatches ? mQuarantine.Quarantined(WallNow())
+                              : std::vector<QuarantineFact>() };
+}
+
 void
 CrashGuard::Tell(const std::vector<QuarantineFact>& aFacts)
 {
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -26,14 +26,9 @@
 constexpr double kRepeatRuns = 1.2;
 /** The target's own end at the deadline has this much time to arrive. */
 constexpr Millis kAnswerGrace{ 80 };
-/** How often a node that has just started looks for a target for the requests
- *  that wait for one. */
-constexpr Millis kHoldPeriod{ 20 };
-/** While this node knows no desired state or no target. */
-constexpr Millis kUnknownPause{ 300 };
 
 std::optional<Millis>
-TimeOf(std::string_view aText)
+ParseMillis(std::string_view aText)
 {
   std::uint64_t value = 0;
   const char* const end = aText.data() + aText.size();
@@ -78,70 +73,10 @@
   }
 }
 
-bool
-Dispatcher::TryHold(const std::shared_ptr<CallerExchange>& aExchange,
-                    Millis aArrived)
-{
-  const std::optional<Millis> patience = TimeOf(
-    aExchange->Request().mHeaders.Value(mParts.mPort.Headers().mTimeLeft));
-  const std::uint64_t id = mNextId++;
-  if (!mStartup.TryHold(id, patience, aArrived, SteadyNow())) {
-    return false;
-  }
-  if (mHeld.empty()) {
-    mHoldTimer.StartRepeating(kHoldPeriod);
-  }
-  mHeld[id] = { .mExchange = aExchange, .mArrived = aArrived };
-  aExchange->OnAbandoned([this, id] {
-    mStartup.Remove(id);
-    mHeld.erase(id);
-  });
-  return true;
-}
-
-void
-Dispatcher::ReleaseHeld()
-{
-  for (const std::uint64_t id : mStartup.TakeAll()) {
-    const HeldRequest held = std::move(mHeld.extract(id).mapped());
-    Route(held.mExchange, held.mArrived);
-  }
-}
-
-void
-Dispatcher::OnHoldTimer()
-{
-  for (const std::uint64_t id : mStartup.TakeExpired(SteadyNow())) {
-    const HeldRequest held = std::move(mHeld.extract(id).mapped());
-    RefuseEarly(*held.mExchange);
-  }
-  if (mTable) {
-    ReleaseHeld();
-  }
-  if (mHeld.empty()) {
-    mHoldTimer.Stop();
-  }
-}
-
-void
-Dispatcher::RefuseEarly(CallerExchange& aExchange)
-{
-  const std::string_view id =
-    aExchange.Request().mHeaders.Value(mParts.mPort.Headers().mRequestId);
-  Refuse(aExchange,
-         std::string(id),
-         503,
-         mTable ? "no_target" : "no_desired_state",
-         kUnknownPause);
-}
-
-bool
-Dispatcher::HasTarget(const std::string& aService) const
+std::optional<Millis>
+Dispatcher::PatienceOf(const HttpMessage& aRequest) const
 {
-  return !mParts.mTargets
-            .Candidates(
-              { .mService = aService, .mVersion = {}, .mExcluded = {} })
-            .empty();
+  return ParseMillis(aRequest.mHeaders.Value(mParts.mPort.Headers().mTimeLeft));
 }
 
 void
@@ -174,8 +109,7 @@
       TryHold(aExchange, aArrived)) {
     return;
   }
-  const Millis patience = TimeOf(request.mHeaders.Value(names.mTimeLeft))
-                            .value_or(rule->mRule.mTimeout);
+  const Millis patience = PatienceOf(request).value_or(rule->mRule.mTimeout);
   const std::uint64_t id = mNextId++;
   ActiveRequest& active = mActive[id];
   active = ActiveRequest{ .mExchange = aExchange,
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -35,6 +35,7 @@
   Loads,
   Crash,
   SuspectRan,
+  Quarantine,
 };
 
 json
@@ -342,6 +343,16 @@
                  aValue.mReport.mFingerprints };
       } else if constexpr (std::is_same_v<Message, SuspectRanMessage>) {
         return { Type::SuspectRan, aValue.mFingerprint };
+      } else if constexpr (std::is_same_v<Message, QuarantineMessage>) {
+        json list = json::array({ Type::Quarantine });
+        for (const QuarantineFact& fact : aValue.mFacts) {
+          list.push_back({ fact.mFingerprint,
+                           fact.mService,
+                           fact.mReleased,
+                           fact.mSequence,
+                           fact.mExpires.Whole() });
+        }
+        return list;
       } else {
         return ToJson(aValue);
       }
@@ -394,6 +405,20 @@
     case Type::SuspectRan:
       return SuspectRanMessage{ .mFingerprint =
                                   aList.at(1).get<std::string>() };
+    case Type::Quarantine: {
+      QuarantineMessage message;
+      for (std::size_t i = 1; i < aList.size(); ++i) {
+        const json& fact = aList.at(i);
+        message.mFacts.push_back(
+          { .mFingerprint = fact.at(0).get<std::string>(),
+            .mService = fact.at(1).get<std::string>(),
+            .mReleased = fact.at(2).get<bool>(),
+            .mSequence = fact.at(3).get<std::uint64_t>(),
+            .mExpires = {
+              static_cast<double>(fact.at(4).get<std::int64_t>()) } });
+      }
+      return message;
+    }
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -47,6 +47,10 @@
     if (record->mRecord.mNode == aNode) {
       // A node that has just started learns at once which state there is.
       mMesh.Reply(aLink, OwnLoad());
+      if (auto quarantined = mCrashes.Quarantined();
+          !quarantined.mFacts.empty()) {
+        mMesh.Reply(aLink, std::move(quarantined));
+      }
     }
     const NodeRecord* const known = mTargets.Nodes().Find(aNode);
     if (known != nullptr && record->mRecord.mNode == aNode &&
@@ -75,6 +79,9 @@
     if (mCrashes.OnSuspectRan(*ran)) {
       Spread(*ran, aNode);
     }
+  } else if (const auto* const quarantine =
+               std::get_if<QuarantineMessage>(&aMessage)) {
+    mCrashes.OnQuarantined(*quarantine);
   }
 }
 
--- a/libs/sidecar/tests/CrashGuardTest.cpp
+++ b/libs/sidecar/tests/CrashGuardTest.cpp
@@ -81,6 +81,23 @@
   }
 }
 
+// Guards against a node that starts again and lets its target be crashed: what
+// it knew is gone with its process.
+TEST_F(CrashGuardTest, NodeThatStartsLearnsWhatIsQuarantined)
+{
+  for (const std::size_t node : { 0, 1, 2 }) {
+    Crash(node, { "/bad" });
+  }
+  CrashGuard started(
+    "e", [](const PeerMessage&) {}, mLog, mMetrics);
+  EXPECT_TRUE(started.Quarantined().mFacts.empty());
+  EXPECT_FALSE(started.IsQuarantined(Call("/bad")));
+  started.OnQuarantined(mGuards[3]->Quarantined());
+  EXPECT_TRUE(started.IsQuarantined(Call("/bad")));
+  EXPECT_FALSE(started.IsQuarantined(Call("/good")));
+  EXPECT_EQ(started.Quarantined(), mGuards[3]->Quarantined());
+}
+
 // Guards against a quarantine of what was beside the guilty request.
 TEST_F(CrashGuardTest, RequestsThatRanSinceAreInnocent)
 {
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -94,6 +94,11 @@
   ExpectSame(CrashMessage{
     .mReport = { .mId = "n/1", .mService = "s", .mFingerprints = { "f" } } });
   ExpectSame(SuspectRanMessage{ .mFingerprint = "f" });
+  ExpectSame(QuarantineMessage{ .mFacts = { { .mFingerprint = "f",
+                                              .mService = "s",
+                                              .mSequence = 3,
+                                              .mExpires = Millis{ 5000 } },
+                                            { .mFingerprint = "g" } } });
 }
 
 // Guards against a message of another program, or one that was cut, which
