--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -57,10 +57,10 @@
    *  @return the bound address, or an error. */
   Expected<std::string> Listen();
 
-  /** Sets the mesh links that this node opens and keeps open. Links that are
-   *  no longer wanted carry only calls after a delay, so that a new one is
-   * there before the old one goes. They aren't closed, because calls may be in
-   *  flight on them in both directions.
+  /** Sets the mesh links that this node opens and keeps open. After a delay,
+   *  in which their replacements open, links that are no longer wanted carry
+   *  calls only. They aren't closed, because calls of both sides may be in
+   *  flight on them.
    *  @param aWanted the peer address of each node. */
   void SetWanted(std::map<std::string, std::string> aWanted);
 
@@ -118,6 +118,7 @@
   void OnClosed(LinkId aId, const std::string& aReason);
   void SendOn(Link& aLink, const Message& aMessage, const std::string& aBytes);
   void MaintainWanted();
+  /** Keeps the link for calls only, on this side. */
   void LeaveMesh(Link& aLink);
   void FindSilentLinks();
   void CountBytes(const Link& aLink,
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -52,9 +52,8 @@
   /** Later changes within this time are written together. Neighbours are told
    *  at once; the row is for nodes that start. */
   Millis mRecordBatch{ 4000 };
-  /** Between attempts while the store does not answer. All followers try
-   *  apart from each other and tell the others what they learn, so the first
-   *  of 8 or more finds a store that is back within 0.2 s or so. */
+  /** Between attempts while the store does not answer, whose calls are paid
+   *  too. A data centre has two followers, which try apart from each other. */
   Millis mRetryLeast{ 300 };
   Millis mRetryMost{ 1200 };
   /** Between attempts to write the record. Many nodes may have to, and
