--- a/libs/node/tests/PeerLinksTest.cpp
+++ b/libs/node/tests/PeerLinksTest.cpp
@@ -27,7 +27,7 @@
                .mLost = [this](const LinkInfo&) { ++mLost; },
                .mLeftMesh = [this](const LinkInfo&) { ++mLeft; },
                .mMessage =
-                 [this](const LinkInfo& aLink, Message aMessage) {
+                 [this](const LinkInfo& aLink, const Message& aMessage) {
                    if (std::holds_alternative<Call>(aMessage)) {
                      mCallOn = aLink.mId;
                    } else if (std::holds_alternative<Reply>(aMessage)) {
