Show where abandoned requests are and how cancellations end

Change: the field `stage` of `abandoned`, the events `cancelled` and `loop_delayed`, and counters for abandoned requests, cancelled calls, pauses of reading and loop delays. No decision changes.

--- a/libs/http/include/http/CallerServer.h
+++ b/libs/http/include/http/CallerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -96,6 +97,10 @@
 
   [[nodiscard]] std::size_t Connections() const;
 
+  /** @return how often reading from a connection has paused because too many
+   *    requests waited on it. */
+  [[nodiscard]] std::uint64_t ReadingPauses() const;
+
 private:
   struct Impl;
   class Connection;
--- a/libs/http/src/CallerServer.cpp
+++ b/libs/http/src/CallerServer.cpp
@@ -57,6 +57,7 @@
   Timer mSweepTimer;
   bool mCloseAfterResponses = false;
   std::size_t mInFlight = 0;
+  std::uint64_t mReadingPauses = 0;
 
   Impl(EventLoop& aLoop, const CallerLimits& aLimits, Handler aHandler)
     : mLoop(aLoop)
@@ -213,6 +214,7 @@
     if (mServer != nullptr && !wasIdle &&
         mWaiting.size() >= kMaxWaitingRequests) {
       mStream->SetReading(false);
+      ++mServer->mReadingPauses;
     }
     return mServer != nullptr && !mIgnoringInput;
   }
@@ -393,4 +395,10 @@
   return mImpl->mConnections.size();
 }
 
+std::uint64_t
+CallerServer::ReadingPauses() const
+{
+  return mImpl->mReadingPauses;
+}
+
 } // namespace papayaway
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -172,6 +172,8 @@
   [[nodiscard]] bool MayRetry(const ActiveRequest& aActive,
                               const ReplyMessage& aReply);
   void CancelAttempt(const ActiveRequest& aActive);
+  /** @return for logs and metrics: where the current attempt is. */
+  [[nodiscard]] const char* StageOf(const ActiveRequest& aActive) const;
   /** Sends a response to the caller and ends the request.
    *  @param aOrigin for the log: "target" if a target sent the response,
    *    otherwise why there is no response of a target. */
--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -109,6 +109,9 @@
    *    mSuspectAfter. */
   [[nodiscard]] bool Reachable(const std::string& aNode) const;
 
+  /** @return whether the handshake of the link is still in progress. */
+  [[nodiscard]] bool IsOpening(LinkId aLink) const;
+
   [[nodiscard]] std::size_t LinkCount() const { return mLinks.size(); }
 
   /** Closes silent and idle links and opens missing ones. Called
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -33,6 +33,14 @@
   /** Counts a run at the local target by outcome and records its time. */
   void OnRun(const std::string& aOutcome, Millis aTime);
 
+  /** Counts a request whose caller disconnected, on the caller's node.
+   *  @param aStage how far the request had come. */
+  void OnAbandoned(const std::string& aStage);
+
+  /** Counts a cancellation on the node of the target.
+   *  @param aState the state of the call that was cancelled. */
+  void OnCancelled(const std::string& aState);
+
   /** Counts a call to the platform's store by kind of call and outcome. */
   void OnStoreCall(const std::string& aCall, const std::string& aOutcome);
 
@@ -42,6 +50,8 @@
   prometheus::Family<prometheus::Histogram>& mRequestTimes;
   prometheus::Family<prometheus::Counter>& mRefused;
   prometheus::Family<prometheus::Counter>& mRuns;
+  prometheus::Family<prometheus::Counter>& mAbandoned;
+  prometheus::Family<prometheus::Counter>& mCancelled;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
 
 public:
@@ -52,6 +62,8 @@
   prometheus::Counter& mTargetCrashes;
   prometheus::Counter& mLogLinesDropped;
   prometheus::Counter& mTargetConnections;
+  prometheus::Counter& mReadingPauses;
+  prometheus::Counter& mLoopDelays;
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
   prometheus::Gauge& mCallerConnections;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -332,6 +332,15 @@
   }
 }
 
+const char*
+Dispatcher::StageOf(const ActiveRequest& aActive) const
+{
+  if (aActive.mIsLocal) {
+    return "local";
+  }
+  return mDependencies.mMesh.IsOpening(aActive.mLink) ? "link_opening" : "sent";
+}
+
 void
 Dispatcher::OnAbandoned(std::uint64_t aId)
 {
@@ -342,6 +351,7 @@
   const ActiveRequest active = std::move(found->second);
   mActiveRequests.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  const char* const stage = StageOf(active);
   CancelAttempt(active);
   if (active.mLink != 0) {
     mDependencies.mMesh.Reply(active.mLink, CancelMessage{ .mId = aId });
@@ -352,8 +362,10 @@
       "abandoned",
       { { "request", active.mRequestId },
         { "target_node", active.mNode },
+        { "stage", stage },
         { "time_ms", (SteadyNow() - active.mArrivedAt).WholeMillis() } });
   }
+  mDependencies.mMetrics.OnAbandoned(stage);
   mDependencies.mMetrics.OnRequest(
     active.mRule->mName, "abandoned", SteadyNow() - active.mArrivedAt);
 }
--- a/libs/sidecar/src/DispatcherStartup.cpp
+++ b/libs/sidecar/src/DispatcherStartup.cpp
@@ -26,6 +26,7 @@
   }
   mHeldRequests[id] = { .mExchange = aExchange, .mArrivedAt = aArrivedAt };
   aExchange->OnAbandoned([this, id] {
+    mDependencies.mMetrics.OnAbandoned("held");
     mStartupQueue.Remove(id);
     mHeldRequests.erase(id);
   });
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -419,6 +419,17 @@
   const ActiveCall active = std::move(found->second);
   mActiveCalls.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  const char* const state = active.mSentToTarget ? "running" : "waiting";
+  mMetrics.OnCancelled(state);
+  if (mLog.ShouldWrite("cancelled", Category::Failure)) {
+    mLog.Write("target",
+               "cancelled",
+               { { "request", active.mCall.mRequestId },
+                 { "state", state },
+                 { "age_ms", (SteadyNow() - active.mArrivedAt).WholeMillis() },
+                 { "running", mQueue.Running() },
+                 { "waiting", mQueue.Waiting() } });
+  }
   if (active.mSentToTarget) {
     mClient.Cancel(active.mClientCall);
     FreeSlot();
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -262,6 +262,13 @@
   }
 }
 
+bool
+PeerMesh::IsOpening(LinkId aLink) const
+{
+  const auto found = mLinks.find(aLink);
+  return found != mLinks.end() && !found->second.mOpen;
+}
+
 void
 PeerMesh::Broadcast(const PeerMessage& aMessage)
 {
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -39,6 +39,8 @@
       const LocalTargetProxy::CallId id = found->second;
       mPeerCalls.erase(found);
       mLocalTarget.Cancel(id);
+    } else {
+      mMetrics.OnCancelled("unknown");
     }
   } else if (const auto* const load = std::get_if<LoadMessage>(&aMessage)) {
     OnLoad(aLink, aNode, *load);
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -65,6 +65,12 @@
   , mRuns(CounterFamily(mRegistry,
                         "papayaway_runs_total",
                         "Requests sent to the local target, by outcome"))
+  , mAbandoned(CounterFamily(mRegistry,
+                             "papayaway_abandoned_total",
+                             "Requests of callers that disconnected, by stage"))
+  , mCancelled(CounterFamily(mRegistry,
+                             "papayaway_cancelled_total",
+                             "Calls cancelled at the target's node, by state"))
   , mStoreCalls(CounterFamily(mRegistry,
                               "papayaway_store_calls_total",
                               "Calls of the platform's store by outcome"))
@@ -90,6 +96,12 @@
   , mTargetConnections(Counter(mRegistry,
                                "papayaway_target_connections_total",
                                "Connections opened to the local target"))
+  , mReadingPauses(Counter(mRegistry,
+                           "papayaway_reading_pauses_total",
+                           "Pauses of reading from a caller's connection"))
+  , mLoopDelays(Counter(mRegistry,
+                        "papayaway_loop_delays_total",
+                        "Ticks that ran late by a quarter second or more"))
   , mRunning(Gauge(mRegistry,
                    "papayaway_running",
                    "Requests running at the local target"))
@@ -141,6 +153,18 @@
   mRunTimes.Observe(aTime.mCount);
 }
 
+void
+SidecarMetrics::OnAbandoned(const std::string& aStage)
+{
+  mAbandoned.Add({ { "stage", aStage } }).Increment();
+}
+
+void
+SidecarMetrics::OnCancelled(const std::string& aState)
+{
+  mCancelled.Add({ { "state", aState } }).Increment();
+}
+
 void
 SidecarMetrics::OnStoreCall(const std::string& aCall,
                             const std::string& aOutcome)
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -22,6 +22,10 @@
  *  period, at which the process would be killed. */
 constexpr Millis kStopReserve{ 400 };
 
+/** A tick that is late by this much shows that the loop was blocked or that the
+ *  host gave the process no processor time. */
+constexpr Millis kLoopDelay{ 250 };
+
 /** Raises a counter to a running total that another component keeps. */
 void
 RaiseToTotal(prometheus::Counter& aCounter, std::uint64_t aTotal)
@@ -66,7 +70,13 @@
 Sidecar::Impl::Tick()
 {
   const Millis now = SteadyNow();
-  mMetrics.mLoopLag.Set(std::max(0.0, (now - mLastTick - kTickPeriod).mCount));
+  const Millis lag = now - mLastTick - kTickPeriod;
+  mMetrics.mLoopLag.Set(std::max(0.0, lag.mCount));
+  if (lag >= kLoopDelay) {
+    mMetrics.mLoopDelays.Increment();
+    mLog.WriteStateChange(
+      "node", "loop_delayed", { { "lag_ms", lag.WholeMillis() } });
+  }
   mLastTick = now;
   mMesh.Tick(now);
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
@@ -87,6 +97,7 @@
     mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
     mMetrics.mStateAge.Set((now - mStateAppliedAt).mCount / 1000);
     RaiseToTotal(mMetrics.mLogLinesDropped, mLog.DroppedLines());
+    RaiseToTotal(mMetrics.mReadingPauses, mCallerServer->ReadingPauses());
     RaiseToTotal(mMetrics.mTargetConnections, mLocalTarget.ConnectionsOpened());
   }
   if (now - mLastRolloutTick >= kRolloutPeriod) {
