--- a/libs/http/tests/CallerServerTest.cpp
+++ b/libs/http/tests/CallerServerTest.cpp
@@ -1,5 +1,11 @@
 #include <http/CallerServer.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <net/SocketAddress.h>
+
 #include "LoopFixture.h"
 
 namespace papayaway {
@@ -27,6 +33,21 @@
     mExchanges.at(aIndex)->Respond({ .mBody = aBody });
   }
 
+  /** Sends bytes on a connection of their own and closes it, all before the
+   *  server runs. */
+  void SendAndClose(const std::string& aBytes)
+  {
+    const sockaddr_in address = *ParseAddress(mServer->Address());
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_EQ(connect(descriptor,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    ASSERT_EQ(send(descriptor, aBytes.data(), aBytes.size(), 0),
+              static_cast<ssize_t>(aBytes.size()));
+    close(descriptor);
+  }
+
   [[nodiscard]] bool WaitForRequests(std::size_t aCount)
   {
     return RunUntil([&] { return mExchanges.size() >= aCount; });
@@ -75,6 +96,58 @@
   EXPECT_EQ(mServer->Connections(), 0U);
 }
 
+// Guards against a request that is sent on to a target although its caller has
+// already closed the connection, because the server reads the request and the
+// end of the connection one after the other.
+TEST_F(CallerServerTest, RequestOfClosedConnectionIsNotHandled)
+{
+  Listen();
+  SendAndClose(Get("/1") + Get("/2"));
+  RunFor(Millis{ 100 });
+  EXPECT_EQ(mExchanges.size(), 0U);
+  EXPECT_EQ(mServer->InFlight(), 0U);
+}
+
+// Guards against requests that stay at work after their caller has left,
+// because the end of the connection is not read while many of its requests
+// wait.
+TEST_F(CallerServerTest, DisconnectBehindManyPipelinedRequestsIsDetected)
+{
+  Listen();
+  std::string requests;
+  for (int i = 0; i < 100; ++i) {
+    requests += Get("/" + std::to_string(i));
+  }
+  mCaller->Write(requests);
+  ASSERT_TRUE(WaitForRequests(32));
+  RunFor(Millis{ 30 });
+  mCaller->Close();
+  EXPECT_TRUE(RunUntil([&] { return mServer->Connections() == 0; }));
+  EXPECT_EQ(mAbandoned.size(), mExchanges.size());
+}
+
+// Guards against a caller that makes the server hold any number of its
+// requests, and against requests that are lost because they were not parsed
+// while others waited.
+TEST_F(CallerServerTest, ManyPipelinedRequestsAreHandledAFewAtATime)
+{
+  Listen();
+  std::string requests;
+  for (int i = 0; i < 100; ++i) {
+    requests += Get("/" + std::to_string(i));
+  }
+  mCaller->Write(requests);
+  ASSERT_TRUE(WaitForRequests(32));
+  RunFor(Millis{ 30 });
+  EXPECT_EQ(mExchanges.size(), 32U);
+  for (std::size_t i = 0; i < 100; ++i) {
+    ASSERT_TRUE(WaitForRequests(i + 1));
+    EXPECT_EQ(mExchanges.at(i)->Request().mTarget, "/" + std::to_string(i));
+    Respond(i, "response");
+  }
+  EXPECT_EQ(mServer->InFlight(), 0U);
+}
+
 // Guards against a connection that stays open after "Connection: close", and
 // against running a request that follows: its caller retries it on another
 // connection, so it would run twice.
