Withdraw calls whose callers leave while their link opens

Cause: a call to a node without a link waits in the queue of the opening link. The cancellation of such a call was passed to a WebSocket session that was not open yet, which dropped it; the call was sent once the link opened, ran at the target and could wait there for a slot until its deadline. Callers saw nothing, since they had left; targets worked for nobody and other callers waited for their slots. Change: PeerMesh::Reply() on an opening link removes the queued call of a cancellation and queues any other message instead of losing it.

--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,7 +91,8 @@
                       const std::string& aAddress,
                       const PeerMessage& aMessage);
 
-  /** Sends on the given link, if it still exists. */
+  /** Sends on the given link, if it still exists. While the link is opening,
+   *  the message is queued; a cancellation then removes its queued call. */
   void Reply(LinkId aLink, const PeerMessage& aMessage);
 
   /** Sends to every linked node, once each. */
@@ -119,6 +121,13 @@
   void Tick(Millis aNow);
 
 private:
+  /** A message that waits until its link is open. */
+  struct QueuedMessage
+  {
+    /** The id of the call if the message is one. */
+    std::optional<std::uint64_t> mCallId;
+    std::string mBytes;
+  };
   struct Link
   {
     std::unique_ptr<PeerSocket> mSocket;
@@ -128,8 +137,7 @@
     bool mOpen = false;
     /** Whether SendOnDemand() opened the link or has queued messages on it. */
     bool mOnDemand = false;
-    /** Encoded messages to send once the link is open. */
-    std::vector<std::string> mQueued;
+    std::vector<QueuedMessage> mQueued;
   };
   struct PersistentPeer
   {
@@ -139,6 +147,7 @@
   };
 
   void SetSocketHandlers(LinkId aId, Link& aLink);
+  static void Queue(Link& aLink, const PeerMessage& aMessage);
   void OnReceived(LinkId aId, const std::string& aBytes);
   void CloseLink(LinkId aId, const char* aReason);
   /** @return the link to use for a node, or 0 if there is none: the oldest one,
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -73,8 +73,8 @@
           link.mLastReceived = SteadyNow();
           link.mSocket->Send(
             EncodeMessage(RecordMessage{ mHandlers.mOwnRecord() }));
-          for (const std::string& message : std::exchange(link.mQueued, {})) {
-            link.mSocket->Send(message);
+          for (const QueuedMessage& message : std::exchange(link.mQueued, {})) {
+            link.mSocket->Send(message.mBytes);
           }
         },
       .mMessage = [this,
@@ -241,7 +241,7 @@
   Link& link = mLinks.at(id);
   link.mOnDemand = true;
   link.mLastUsed = SteadyNow();
-  link.mQueued.push_back(EncodeMessage(aMessage));
+  Queue(link, aMessage);
   return id;
 }
 
@@ -257,9 +257,30 @@
 PeerMesh::Reply(LinkId aLink, const PeerMessage& aMessage)
 {
   const auto found = mLinks.find(aLink);
-  if (found != mLinks.end()) {
-    found->second.mSocket->Send(EncodeMessage(aMessage));
+  if (found == mLinks.end()) {
+    return;
+  }
+  Link& link = found->second;
+  if (link.mOpen) {
+    link.mSocket->Send(EncodeMessage(aMessage));
+  } else {
+    Queue(link, aMessage);
+  }
+}
+
+void
+PeerMesh::Queue(Link& aLink, const PeerMessage& aMessage)
+{
+  if (const auto* const cancel = std::get_if<CancelMessage>(&aMessage)) {
+    std::erase_if(aLink.mQueued, [&](const QueuedMessage& aQueued) {
+      return aQueued.mCallId == cancel->mId;
+    });
+    return;
   }
+  const auto* const call = std::get_if<CallMessage>(&aMessage);
+  aLink.mQueued.push_back(
+    { .mCallId = call == nullptr ? std::nullopt : std::optional(call->mId),
+      .mBytes = EncodeMessage(aMessage) });
 }
 
 bool
