Do not handle requests whose connection has already ended

Cause: a caller's connection was read one buffer per event, and each request was handled while its bytes were parsed. If the node was behind, a request and the close of its connection waited together, and the request was sent to a target before the close was read. While 32 requests of a connection waited, the close was not read at all; the limit of 32 itself did not hold within one buffer. Change: CallerServer reads all input that has arrived, and the end behind it, and handles requests when the event's callbacks have run (EventLoop::Defer). A connection with 32 waiting requests is still read: up to 64 KiB are held unparsed, only then does reading pause. The price is one more recv() per read event on callers' connections. A close behind more than 64 KiB of held input is noticed only when requests before it are answered.

--- a/libs/http/include/http/CallerServer.h
+++ b/libs/http/include/http/CallerServer.h
@@ -55,10 +55,13 @@
 /**
  * An HTTP/1.1 server for callers.
  *
- * Each pipelined request is passed to the handler as soon as it is complete;
- * the responses are sent in the order of the requests. The connection is read
- * while requests wait for their responses, so that a disconnect of the caller
- * is detected; reading pauses only if too many requests wait.
+ * Each pipelined request is passed to the handler once it is complete and all
+ * input that has arrived was read, so that a request behind which the caller
+ * has closed the connection is never handled. The responses are sent in the
+ * order of the requests. The connection is read while requests wait for their
+ * responses, so that a disconnect of the caller is detected. If too many
+ * requests wait, a limited amount of further input is held unparsed, then
+ * reading pauses.
  */
 class CallerServer
 {
@@ -97,8 +100,8 @@
 
   [[nodiscard]] std::size_t Connections() const;
 
-  /** @return how often reading from a connection has paused because too many
-   *    requests waited on it. */
+  /** @return how often reading from a connection has paused because too much
+   *    unparsed input was held. */
   [[nodiscard]] std::uint64_t ReadingPauses() const;
 
 private:
--- a/libs/http/include/http/TcpStream.h
+++ b/libs/http/include/http/TcpStream.h
@@ -22,6 +22,13 @@
   std::function<void(bool)> mEnded = [](bool) {};
 };
 
+struct TcpStreamOptions
+{
+  /** Whether one event reads all bytes that have arrived, and the end of the
+   *  connection behind them, rather than one buffer. */
+  bool mReadsUntilEmpty = false;
+};
+
 /** One non-blocking TCP connection with a buffer for unsent bytes. */
 class TcpStream : public std::enable_shared_from_this<TcpStream>
 {
@@ -39,7 +46,7 @@
   TcpStream& operator=(const TcpStream&) = delete;
 
   /** Sets the handlers and starts to watch the connection. */
-  void Start(TcpStreamHandlers aHandlers);
+  void Start(TcpStreamHandlers aHandlers, TcpStreamOptions aOptions = {});
 
   /** Writes as much as the socket accepts now and buffers the rest. */
   void Write(std::string_view aBytes);
@@ -74,6 +81,7 @@
   bool mClosed = false;
   bool mClosing = false;
   TcpStreamHandlers mHandlers;
+  TcpStreamOptions mOptions;
   std::unique_ptr<IoWatcher> mWatcher;
   std::string mUnsent;
 };
--- a/libs/http/src/CallerServer.cpp
+++ b/libs/http/src/CallerServer.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-/** Number of requests waiting on one connection at which reading pauses. */
+/** Number of requests waiting on one connection at which further input is held
+ *  unparsed. */
 constexpr std::size_t kMaxWaitingRequests = 32;
+/** Amount of held input of one connection at which reading pauses. */
+constexpr std::size_t kMaxHeldBytes = std::size_t{ 64 } << 10;
 /** Half of the file descriptors available on a small host. */
 constexpr std::size_t kMaxConnections = 2000;
 /** Interval at which the timeouts of connections are checked. */
@@ -98,7 +101,8 @@
   {
     mStream->Start(
       { .mReceived = [this](std::string_view aBytes) { OnBytes(aBytes); },
-        .mEnded = [this](bool) { End(); } });
+        .mEnded = [this](bool) { End(); } },
+      { .mReadsUntilEmpty = true });
   }
 
   /** Closes the connection or responds 408 if a timeout has passed. */
@@ -170,6 +174,8 @@
 
   void Abandon(Impl& aServer)
   {
+    mUnhandled.clear();
+    mHeldInput.clear();
     while (!mWaiting.empty()) {
       const std::shared_ptr<Exchange> exchange = std::move(mWaiting.front());
       mWaiting.pop_front();
@@ -183,19 +189,63 @@
 
   void OnBytes(std::string_view aBytes)
   {
-    const std::shared_ptr<Connection> self = shared_from_this();
     mLastActivity = SteadyNow();
     if (mIgnoringInput) {
       return;
     }
+    if (mWaiting.size() < kMaxWaitingRequests && mHeldInput.empty()) {
+      Parse(aBytes);
+    } else {
+      Hold(aBytes);
+    }
+  }
+
+  void Parse(std::string_view aBytes)
+  {
+    const std::shared_ptr<Connection> self = shared_from_this();
     if (!mParser.InMessage()) {
       mMessageBegan = mLastActivity;
       mParser.SetLimits(mServer->mLimits.mSizes);
     }
-    mParser.Feed(aBytes);
-    if (mServer != nullptr && !mIgnoringInput &&
-        mParser.Failure() != ParseFailure::None) {
+    const std::size_t consumed = mParser.Feed(aBytes);
+    if (mServer == nullptr || mIgnoringInput) {
+      return;
+    }
+    if (mParser.Failure() != ParseFailure::None) {
       RejectRemainingInput(StatusOf(mParser.Failure()));
+    } else if (consumed < aBytes.size()) {
+      Hold(aBytes.substr(consumed));
+    }
+  }
+
+  void Hold(std::string_view aBytes)
+  {
+    mHeldInput += aBytes;
+    if (mHeldInput.size() >= kMaxHeldBytes) {
+      mStream->SetReading(false);
+      ++mServer->mReadingPauses;
+    }
+  }
+
+  void ParseHeld()
+  {
+    if (mServer == nullptr || mIgnoringInput || mHeldInput.empty() ||
+        mWaiting.size() >= kMaxWaitingRequests) {
+      return;
+    }
+    const std::string input = std::exchange(mHeldInput, {});
+    Parse(input);
+    if (mServer != nullptr && mHeldInput.size() < kMaxHeldBytes) {
+      mStream->SetReading(true);
+    }
+  }
+
+  void HandleRequests()
+  {
+    while (!mUnhandled.empty()) {
+      const std::shared_ptr<Exchange> exchange = std::move(mUnhandled.front());
+      mUnhandled.pop_front();
+      mServer->mHandler(exchange);
     }
   }
 
@@ -209,14 +259,12 @@
     mWaiting.push_back(exchange);
     ++mServer->mInFlight;
     mIgnoringInput = exchange->mClose;
-    const bool wasIdle = mWaiting.size() == 1;
-    mServer->mHandler(exchange);
-    if (mServer != nullptr && !wasIdle &&
-        mWaiting.size() >= kMaxWaitingRequests) {
-      mStream->SetReading(false);
-      ++mServer->mReadingPauses;
+    if (mUnhandled.empty()) {
+      mServer->mLoop.Defer(
+        [self = shared_from_this()] { self->HandleRequests(); });
     }
-    return mServer != nullptr && !mIgnoringInput;
+    mUnhandled.push_back(exchange);
+    return !mIgnoringInput && mWaiting.size() < kMaxWaitingRequests;
   }
 
   /** Ignores further input and queues an error response after the responses
@@ -266,15 +314,20 @@
         return;
       }
     }
-    if (mServer != nullptr && mWaiting.size() < kMaxWaitingRequests) {
-      mStream->SetReading(true);
+    if (mServer != nullptr && !mHeldInput.empty()) {
+      mServer->mLoop.Defer([self] { self->ParseHeld(); });
     }
   }
 
   Impl* mServer;
   std::shared_ptr<TcpStream> mStream;
   MessageParser mParser;
+  /** Requests without a written response, in the order of arrival. */
   std::deque<std::shared_ptr<Exchange>> mWaiting;
+  /** Those that have not been passed to the handler. */
+  std::deque<std::shared_ptr<Exchange>> mUnhandled;
+  /** Input that was received while too many requests waited. */
+  std::string mHeldInput;
   Millis mLastActivity;
   Millis mMessageBegan;
   /** Whether further bytes of the caller are ignored. */
--- a/libs/http/src/TcpStream.cpp
+++ b/libs/http/src/TcpStream.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
+/** Maximum number of buffers read per event, so that a fast sender does not
+ *  delay the other events of the loop. */
+constexpr int kMaxReadsPerEvent = 16;
 /** Maximum number of connections accepted per event, so that a burst of them
  *  does not delay the other events of the loop. */
 constexpr int kMaxAcceptsPerEvent = 32;
@@ -83,9 +86,10 @@
 }
 
 void
-TcpStream::Start(TcpStreamHandlers aHandlers)
+TcpStream::Start(TcpStreamHandlers aHandlers, TcpStreamOptions aOptions)
 {
   mHandlers = std::move(aHandlers);
+  mOptions = aOptions;
   if (mDescriptor < 0) {
     return;
   }
@@ -134,15 +138,18 @@
 TcpStream::Read()
 {
   static std::array<char, kReadBufferSize> buffer;
-  const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
-  if (length > 0) {
+  const int maxReads = mOptions.mReadsUntilEmpty ? kMaxReadsPerEvent : 1;
+  for (int i = 0; i < maxReads && !mClosed && (mReading || mClosing); ++i) {
+    const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+    if (length <= 0) {
+      if (length == 0 || (errno != EAGAIN && errno != EINTR)) {
+        End(length == 0);
+      }
+      return;
+    }
     if (!mClosing) {
       mHandlers.mReceived({ buffer.data(), static_cast<std::size_t>(length) });
     }
-  } else if (length == 0) {
-    End(true);
-  } else if (errno != EAGAIN && errno != EINTR) {
-    End(false);
   }
 }
 
