Read cancellations before serving the calls that arrived with them

Cause: a sidecar read one buffer of a link per event and served every call while its message was decoded. If the node was behind, a call and its cancellation, or a call and the end of its link, waited together, and the call was written to the target before the cancellation was read. Change: PeerSocket reads all bytes that have arrived and the end of the connection behind them. Calls are collected and served when the callbacks of the iteration have run; a cancellation or the loss of the link removes them first. The counter papayaway_cancelled_total has the state `received` for them.

--- a/libs/net/src/PeerSocket.cpp
+++ b/libs/net/src/PeerSocket.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::size_t kReadBufferSize = std::size_t{ 64 } << 10;
+/** Maximum number of buffers read per event, so that a fast sender does not
+ *  delay the other events of the loop. */
+constexpr int kMaxReadsPerEvent = 16;
 /** Maximum number of accepted connections whose handshake is incomplete. */
 constexpr std::size_t kMaxPendingHandshakes = 512;
 
@@ -124,17 +127,24 @@
     }
   }
 
+  /** Reads all bytes that have arrived and the end of the connection behind
+   *  them, so that the owner learns of both in the same event. */
   void Read()
   {
     static std::array<char, kReadBufferSize> buffer;
-    const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
-    if (length > 0) {
-      mBytesReceived += static_cast<std::uint64_t>(length);
-      mSession->Receive(buffer.data(), static_cast<std::size_t>(length));
-    } else if (length == 0) {
-      End("the peer closed the connection");
-    } else if (errno != EAGAIN && errno != EINTR) {
-      End(std::string("can't read: ") + std::strerror(errno));
+    for (int i = 0; i < kMaxReadsPerEvent && !mEnded; ++i) {
+      const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
+      if (length > 0) {
+        mBytesReceived += static_cast<std::uint64_t>(length);
+        mSession->Receive(buffer.data(), static_cast<std::size_t>(length));
+        continue;
+      }
+      if (length == 0) {
+        End("the peer closed the connection");
+      } else if (errno != EAGAIN && errno != EINTR) {
+        End(std::string("can't read: ") + std::strerror(errno));
+      }
+      return;
     }
   }
 
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -3,6 +3,7 @@
 #include <sidecar/Sidecar.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <utility>
@@ -99,6 +100,12 @@
    *  call id. */
   std::map<std::pair<LinkId, std::uint64_t>, LocalTargetProxy::CallId>
     mPeerCalls;
+  /** Calls of other nodes that were received in this iteration of the loop, by
+   *  link and call id. They are served after all input was read, unless a
+   *  cancellation or the loss of the link removes them first. */
+  std::map<std::pair<LinkId, std::uint64_t>, CallMessage> mReceivedCalls;
+  /** Expires with this object, which deferred callbacks may outlive. */
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   bool mStopping = false;
   Millis mStopStarted;
   std::function<void()> mOnStopped;
@@ -133,6 +140,9 @@
   bool ApplyState(const std::string& aText, const char* aSource);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
+  void OnCancel(LinkId aLink, const CancelMessage& aCancel);
+  void ServeReceivedCalls();
+  void ServeCall(LinkId aLink, CallMessage aCall);
   void OnLinkLost(LinkId aLink, bool aWasOpen);
   void OnLoad(LinkId aLink,
               const std::string& aNode,
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -34,14 +34,7 @@
   } else if (auto* const reply = std::get_if<ReplyMessage>(&aMessage)) {
     mDispatcher.OnReply(aNode, std::move(*reply));
   } else if (const auto* const cancel = std::get_if<CancelMessage>(&aMessage)) {
-    const auto found = mPeerCalls.find({ aLink, cancel->mId });
-    if (found != mPeerCalls.end()) {
-      const LocalTargetProxy::CallId id = found->second;
-      mPeerCalls.erase(found);
-      mLocalTarget.Cancel(id);
-    } else {
-      mMetrics.OnCancelled("unknown");
-    }
+    OnCancel(aLink, *cancel);
   } else if (const auto* const load = std::get_if<LoadMessage>(&aMessage)) {
     OnLoad(aLink, aNode, *load);
   } else if (const auto* const record = std::get_if<RecordMessage>(&aMessage)) {
@@ -97,6 +90,52 @@
 
 void
 Sidecar::Impl::OnCall(LinkId aLink, CallMessage aCall)
+{
+  if (mReceivedCalls.empty()) {
+    // The loss of a link is reported by a deferred callback too, so the calls
+    // are served one round after it.
+    mLoop.Defer([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired()) {
+        mLoop.Defer([this, alive] {
+          if (!alive.expired()) {
+            ServeReceivedCalls();
+          }
+        });
+      }
+    });
+  }
+  const std::uint64_t callId = aCall.mId;
+  mReceivedCalls.insert_or_assign({ aLink, callId }, std::move(aCall));
+}
+
+void
+Sidecar::Impl::OnCancel(LinkId aLink, const CancelMessage& aCancel)
+{
+  if (mReceivedCalls.erase({ aLink, aCancel.mId }) > 0) {
+    mMetrics.OnCancelled("received");
+    return;
+  }
+  const auto found = mPeerCalls.find({ aLink, aCancel.mId });
+  if (found == mPeerCalls.end()) {
+    mMetrics.OnCancelled("unknown");
+    return;
+  }
+  const LocalTargetProxy::CallId id = found->second;
+  mPeerCalls.erase(found);
+  mLocalTarget.Cancel(id);
+}
+
+void
+Sidecar::Impl::ServeReceivedCalls()
+{
+  while (!mReceivedCalls.empty()) {
+    auto call = mReceivedCalls.extract(mReceivedCalls.begin());
+    ServeCall(call.key().first, std::move(call.mapped()));
+  }
+}
+
+void
+Sidecar::Impl::ServeCall(LinkId aLink, CallMessage aCall)
 {
   const std::uint64_t callId = aCall.mId;
   if (mStopping && SteadyNow() - mStopStarted > kServeAfterStop) {
@@ -123,6 +162,9 @@
 void
 Sidecar::Impl::OnLinkLost(LinkId aLink, bool aWasOpen)
 {
+  std::erase_if(mReceivedCalls, [&](const auto& aEntry) {
+    return aEntry.first.first == aLink;
+  });
   std::vector<LocalTargetProxy::CallId> calls;
   const auto first = mPeerCalls.lower_bound({ aLink, 0 });
   auto last = first;
