Withdraw queued calls of departed callers in papayaway-node too

Cause: the same fault as in papayaway-sidecar, found by looking for its class: PeerLinks::Send() refuses a link that is not established, so the cancellation of a call that SendToNode() had queued there was lost and the call was sent later. Change: a cancellation on such a link removes the queued call. Result: PeerLinksTest.CallCancelledWhileItsLinkOpensIsNotSent fails on the code before (2 calls arrive) and passes now; the other PeerLinksTest tests pass.

--- a/libs/node/src/PeerLink.h
+++ b/libs/node/src/PeerLink.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,14 @@
 constexpr std::uint64_t kPing = 1;
 constexpr std::uint64_t kPong = 2;
 
+/** A message that waits until its link is established. */
+struct PeerLinks::QueuedMessage
+{
+  /** The id of the call if the message is one. */
+  std::optional<std::uint64_t> mCallId;
+  std::string mBytes;
+};
+
 /** The state of one connection. */
 struct PeerLinks::Link
 {
@@ -29,7 +38,7 @@
    *  if there is none. */
   Millis mUnansweredSince = Never();
   Millis mLastPing;
-  std::vector<std::string> mQueuedMessages;
+  std::vector<QueuedMessage> mQueuedMessages;
 };
 
 } // namespace papayaway
--- a/libs/node/src/PeerLinks.cpp
+++ b/libs/node/src/PeerLinks.cpp
@@ -207,8 +207,8 @@
       wanted != mMeshPeers.end()) {
     wanted->second.mBackoff.Reset();
   }
-  for (const std::string& bytes : aLink.mQueuedMessages) {
-    aLink.mSocket->Send(bytes);
+  for (const QueuedMessage& message : aLink.mQueuedMessages) {
+    aLink.mSocket->Send(message.mBytes);
   }
   aLink.mQueuedMessages.clear();
   const LinkInfo info = aLink.mInfo;
@@ -284,13 +284,35 @@
 PeerLinks::Send(LinkId aLink, const Message& aMessage)
 {
   const auto found = mLinks.find(aLink);
-  if (found == mLinks.end() || !found->second->mReady) {
+  if (found == mLinks.end()) {
     return false;
   }
+  if (!found->second->mReady) {
+    const auto* const cancel = std::get_if<Cancel>(&aMessage);
+    return cancel != nullptr && RemoveQueuedCall(*found->second, cancel->mId);
+  }
   SendOn(*found->second, aMessage, Encode(aMessage));
   return true;
 }
 
+void
+PeerLinks::Queue(Link& aLink, const Message& aMessage)
+{
+  const auto* const call = std::get_if<Call>(&aMessage);
+  aLink.mQueuedMessages.push_back(
+    { .mCallId = call == nullptr ? std::nullopt : std::optional(call->mId),
+      .mBytes = Encode(aMessage) });
+}
+
+bool
+PeerLinks::RemoveQueuedCall(Link& aLink, std::uint64_t aCallId)
+{
+  return std::erase_if(aLink.mQueuedMessages,
+                       [&](const QueuedMessage& aMessage) {
+                         return aMessage.mCallId == aCallId;
+                       }) > 0;
+}
+
 LinkId
 PeerLinks::SendToNode(const std::string& aNode,
                       const std::string& aAddress,
@@ -303,7 +325,7 @@
   for (const auto& [id, link] : mLinks) {
     if (link->mInfo.mNode == aNode && !link->mReady &&
         link->mQueuedMessages.size() < kMaxQueuedMessages) {
-      link->mQueuedMessages.push_back(Encode(aMessage));
+      Queue(*link, aMessage);
       return id;
     }
   }
@@ -311,7 +333,7 @@
     return 0;
   }
   Link& link = Open(aNode, aAddress, true);
-  link.mQueuedMessages.push_back(Encode(aMessage));
+  Queue(link, aMessage);
   return link.mInfo.mId;
 }
 
--- a/libs/node/src/PeerLinks.h
+++ b/libs/node/src/PeerLinks.h
@@ -69,8 +69,10 @@
    *  is a link to that address. */
   void ConnectToAddress(const std::string& aAddress);
 
-  /** Sends on one link.
-   *  @return false if the link is closed or not established yet. */
+  /** Sends on one link. On a link that is not established yet, a cancellation
+   *  removes its queued call.
+   *  @return false if the link is closed or not established yet and no call
+   *    was removed. */
   bool Send(LinkId aLink, const Message& aMessage);
 
   /** Sends to aNode on any established link, or opens a call-only link and
@@ -112,6 +114,7 @@
 
 private:
   struct Link;
+  struct QueuedMessage;
 
   Link& Open(const std::string& aNode,
              const std::string& aAddress,
@@ -122,6 +125,9 @@
   void OnHello(Link& aLink, const Hello& aHello);
   void OnClosed(LinkId aId, const std::string& aReason);
   void SendOn(Link& aLink, const Message& aMessage, const std::string& aBytes);
+  static void Queue(Link& aLink, const Message& aMessage);
+  /** @return whether the call was queued on the link. */
+  static bool RemoveQueuedCall(Link& aLink, std::uint64_t aCallId);
   void MaintainMeshLinks();
   /** Turns a mesh link into a call-only link, on this side. */
   void LeaveMesh(Link& aLink);
--- a/libs/node/tests/PeerLinksTest.cpp
+++ b/libs/node/tests/PeerLinksTest.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -30,6 +31,7 @@
                  [this](const LinkInfo& aLink, const Message& aMessage) {
                    if (std::holds_alternative<Call>(aMessage)) {
                      mLastCallLink = aLink.mId;
+                     mCallIds.push_back(std::get<Call>(aMessage).mId);
                    } else if (std::holds_alternative<Reply>(aMessage)) {
                      ++mReplies;
                    }
@@ -42,6 +44,8 @@
   int mLost = 0;
   int mLeft = 0;
   int mReplies = 0;
+  /** The ids of the calls received, in order. */
+  std::vector<std::uint64_t> mCallIds;
   /** The link on which the last call was received. */
   std::optional<LinkId> mLastCallLink;
 };
@@ -98,6 +102,22 @@
                        Seconds(5)));
 }
 
+// Guards against a call that is sent to a target although its caller left while
+// the link was opening: the cancellation was dropped and the call stayed
+// queued.
+TEST_F(PeerLinksTest, CallCancelledWhileItsLinkOpensIsNotSent)
+{
+  const auto address = mTwo.mLinks.Listen();
+  ASSERT_TRUE(address);
+  const LinkId link = mOne.mLinks.SendToNode("two", *address, Call{ .mId = 1 });
+  mOne.mLinks.SendToNode("two", *address, Call{ .mId = 2 });
+  mOne.mLinks.Send(link, Cancel{ .mId = 1 });
+  ASSERT_TRUE(RunUntil(
+    [&] { return !mTwo.mCallIds.empty() && mTwo.mCallIds.back() == 2; },
+    Seconds(5)));
+  EXPECT_EQ(mTwo.mCallIds.size(), 1U);
+}
+
 // Guards against a link that has left the mesh and prevents a new mesh link to
 // the same node.
 TEST_F(PeerLinksTest, MeshLinkIsOpenedAgainWhenItIsWantedAgain)
