Reject odd check-ins, node records and numbers out of range

Cause: entries of other writers were decoded without bounds. A check-in that is nested 200,000 deep ends the process: copying a JSON value recurses once per level. A record with the greatest incarnation makes the node that it names overflow its own, one with another node's name replaces that node's record, and one undecodable row hid all others of its table. IsPlausible() bounds the fields of node records, from the store and from peers, and requires IPv4:port; a row must be named for its node; undecodable rows are skipped.

--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -216,6 +216,10 @@
 /** @return the message, or an error if the bytes are malformed. */
 Expected<PeerMessage> DecodeMessage(const std::string& aBytes);
 
+/** @return whether all fields of the record have values that a node may
+ *    publish. */
+bool IsPlausible(const gateway::NodeRecord& aRecord);
+
 /** Converts node records and rollout progress to and from the JSON text that
  *  the store holds. */
 std::string EncodeRecord(const gateway::NodeRecord& aRecord);
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -28,6 +28,8 @@
 /** The maximum number of waiting requests, which limits memory use. Their
  *  waiting time is limited by their deadlines. */
 constexpr int kMaxWaiting = 200;
+/** The maximum difference between the clocks of a target and its host. */
+constexpr Millis kMaxClockDifference = Seconds(3600);
 /** The maximum number of targets remembered as having left; all are forgotten
  *  when it is reached. A host has few targets in succession. */
 constexpr std::size_t kMaxLeftTargets = 100;
@@ -77,7 +79,9 @@
   const bool foreign = aCheckIn.mAddress != mOptions.mAddress ||
                        aCheckIn.mTarget.mService != mOptions.mService;
   const bool left = HasLeft(aCheckIn);
-  if (late || foreign || left) {
+  // Accepting such a start time would make the true check-ins seem late.
+  const bool future = aCheckIn.mStarted > WallNow() + kMaxClockDifference;
+  if (late || foreign || left || future) {
     if (mLog.ShouldWrite("check_in_ignored", Category::Failure)) {
       mLog.Write("target",
                  "check_in_ignored",
@@ -85,9 +89,10 @@
                    { "sequence", aCheckIn.mSequence },
                    { "newest", mSequence },
                    { "reason",
-                     left   ? "left"
-                     : late ? "late"
-                            : "another address or service" } });
+                     left     ? "left"
+                     : late   ? "late"
+                     : future ? "start time in the future"
+                              : "another address or service" } });
     }
     return;
   }
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -7,6 +7,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <base/JsonDepth.h>
+#include <net/SocketAddress.h>
+
 namespace papayaway::sidecar {
 
 using gateway::NodeRecord;
@@ -38,6 +41,21 @@
   Quarantine,
 };
 
+constexpr int kMaxSlots = 100000;
+/** Limit of incarnations and sequence numbers; far below the point at which
+ *  adding to them overflows. */
+constexpr std::uint64_t kMaxCount = std::uint64_t{ 1 } << 53;
+
+/** @return the value, or a discarded one if the text is not JSON or is nested
+ *    too deeply. */
+json
+ParseJson(const std::string& aText)
+{
+  return NestsDeeperThan(aText, kMaxJsonDepth)
+           ? json(json::value_t::discarded)
+           : json::parse(aText, nullptr, false);
+}
+
 json
 BinaryToJson(const std::string& aBytes)
 {
@@ -481,7 +499,25 @@
 Expected<NodeRecord>
 DecodeRecord(const std::string& aText)
 {
-  return DecodeOrError(json::parse(aText, nullptr, false), RecordFromJson);
+  auto record = DecodeOrError(ParseJson(aText), RecordFromJson);
+  if (record && !IsPlausible(*record)) {
+    return Fail(ErrorCode::Invalid, "a field of the record is out of range");
+  }
+  return record;
+}
+
+bool
+IsPlausible(const NodeRecord& aRecord)
+{
+  const auto& target = aRecord.mTarget;
+  const bool targetIsPlausible =
+    !target ||
+    (!target->mId.empty() && target->mSlots > 0 &&
+     target->mSlots <= kMaxSlots && target->mState >= TargetState::Ready &&
+     target->mState <= TargetState::Gone);
+  return !aRecord.mNode.empty() && ParseAddress(aRecord.mPeerAddress) &&
+         aRecord.mIncarnation <= kMaxCount && aRecord.mSequence <= kMaxCount &&
+         targetIsPlausible;
 }
 
 std::string
@@ -493,7 +529,7 @@
 Expected<RolloutProgress>
 DecodeProgress(const std::string& aText)
 {
-  return DecodeOrError(json::parse(aText, nullptr, false), ProgressFromJson);
+  return DecodeOrError(ParseJson(aText), ProgressFromJson);
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -279,6 +279,10 @@
 void
 Sidecar::Impl::OnRecord(const NodeRecord& aRecord, const std::string& aFrom)
 {
+  if (!IsPlausible(aRecord)) {
+    mMetrics.mBadInput.Increment();
+    return;
+  }
   if (!mTargets.Merge(aRecord)) {
     return;
   }
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -249,12 +249,14 @@
     const std::string_view key = row.mKey;
     if (key.starts_with(kNodePrefix)) {
       const Expected<NodeRecord> record = DecodeRecord(row.mValue);
-      if (!record) {
+      if (!record || key.substr(kNodePrefix.size()) != record->mNode) {
         mMetrics.mBadInput.Increment();
-        mLog.WriteStateChange(
-          "store",
-          "bad_row",
-          { { "key", row.mKey }, { "reason", record.error().mMessage } });
+        mLog.WriteStateChange("store",
+                              "bad_row",
+                              { { "key", row.mKey },
+                                { "reason",
+                                  record ? "the record is of another node"
+                                         : record.error().mMessage } });
       } else if (record->mNode == mOptions.mNode) {
         mStoredRecord = *record;
         mHandlers.mOwnRecordRead(*record);
