--- a/libs/http/tests/CallerServerTest.cpp
+++ b/libs/http/tests/CallerServerTest.cpp
@@ -1,6 +1,5 @@
 #include <http/CallerServer.h>
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -48,6 +47,9 @@
     close(descriptor);
   }
 
+  /** Writes requests for "/0", "/1" and so on, all at once. */
+  void WritePipelinedRequests(int aCount);
+
   [[nodiscard]] bool WaitForRequests(std::size_t aCount)
   {
     return RunUntil([&] { return mExchanges.size() >= aCount; });
@@ -65,6 +67,16 @@
   return "GET " + aPath + " HTTP/1.1\r\nHost: x\r\n" + aFields + "\r\n";
 }
 
+void
+CallerServerTest::WritePipelinedRequests(int aCount)
+{
+  std::string requests;
+  for (int i = 0; i < aCount; ++i) {
+    requests += Get("/" + std::to_string(i));
+  }
+  mCaller->Write(requests);
+}
+
 // Guards against a response that is sent out of order and so taken for the
 // response to another request of the connection.
 TEST_F(CallerServerTest, PipelinedRequestsGetResponsesInOrder)
@@ -114,11 +126,7 @@
 TEST_F(CallerServerTest, DisconnectBehindManyPipelinedRequestsIsDetected)
 {
   Listen();
-  std::string requests;
-  for (int i = 0; i < 100; ++i) {
-    requests += Get("/" + std::to_string(i));
-  }
-  mCaller->Write(requests);
+  WritePipelinedRequests(100);
   ASSERT_TRUE(WaitForRequests(32));
   RunFor(Millis{ 30 });
   mCaller->Close();
@@ -132,11 +140,7 @@
 TEST_F(CallerServerTest, ManyPipelinedRequestsAreHandledAFewAtATime)
 {
   Listen();
-  std::string requests;
-  for (int i = 0; i < 100; ++i) {
-    requests += Get("/" + std::to_string(i));
-  }
-  mCaller->Write(requests);
+  WritePipelinedRequests(100);
   ASSERT_TRUE(WaitForRequests(32));
   RunFor(Millis{ 30 });
   EXPECT_EQ(mExchanges.size(), 32U);
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -1,5 +1,8 @@
 #include <sidecar/PeerMessages.h>
 
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -120,6 +123,30 @@
   RC_ASSERT(decoded || !decoded.error().mMessage.empty());
 }
 
+// Guards against records of another writer whose addresses, numbers or nesting
+// a node can't use, among the records that nodes read from the store.
+TEST(PeerMessages, RecordsOutOfRangeAreRejected)
+{
+  const std::string nested(30000, '[');
+  EXPECT_TRUE(
+    DecodeRecord(R"(["n","a","r","10.0.0.1:80",1,1,false,["i","s","v",4,0]])"));
+  for (const std::string& text : std::vector<std::string>{
+         nested,
+         nested + std::string(30000, ']'),
+         R"(["","a","r","10.0.0.1:80",1,1,false])",
+         R"(["n","a","r","10.0.0.1:99999",1,1,false])",
+         R"(["n","a","r","host:80",1,1,false])",
+         R"(["n","a","r","10.0.0.1:80",18446744073709551615,1,false])",
+         R"(["n","a","r","10.0.0.1:80",1,18446744073709551615,false])",
+         R"(["n","a","r","10.0.0.1:80",1e999,1,false])",
+         R"(["n","a","r","10.0.0.1:80",1,1,false,["i","s","v",0,0]])",
+         R"(["n","a","r","10.0.0.1:80",1,1,false,["i","s","v",100001,0]])",
+         R"(["n","a","r","10.0.0.1:80",1,1,false,["i","s","v",4,77]])",
+         R"(["n","a","r","10.0.0.1:80",1,1,false,["","s","v",4,0]])" }) {
+    EXPECT_FALSE(DecodeRecord(text)) << text.substr(0, 80);
+  }
+}
+
 TEST(PeerMessages, StageBeyondTheLastIsClamped)
 {
   const auto progress = DecodeProgress(R"(["s","v2",1,0,99,0,0,""])");
