Report responses that end within their header as lost (papayaway-node)

Cause: libcurl reports success if a connection ends within the header fields of a response. The node then passed on the status line with an empty body, framed as whole.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -51,6 +51,8 @@
     std::size_t mBodySent = 0;
     /** Number of bytes in header lines, of interim responses too. */
     std::size_t mHeaderBytes = 0;
+    /** Whether the empty line after the header fields was received. */
+    bool mHeaderComplete = false;
     std::optional<HeaderMatch> mLastResponse;
   };
 
@@ -134,6 +136,9 @@
     // A status line begins a new response: discard the headers of an interim
     // one such as 100 Continue.
     transfer.mResult.mResponse.mHeaders = {};
+    transfer.mHeaderComplete = false;
+  } else if (line == "\r\n" || line == "\n") {
+    transfer.mHeaderComplete = true;
   } else if (colon != std::string_view::npos) {
     std::string_view value = line.substr(colon + 1);
     constexpr std::string_view kSpace = " \t\r\n";
@@ -300,10 +305,13 @@
   curl_easy_getinfo(transfer->mHandle, CURLINFO_RESPONSE_CODE, &status);
   HttpResult result = std::move(transfer->mResult);
   result.mMayHaveRun = sent > 0;
-  result.mFailure = Classify(aCode, result.mMayHaveRun);
+  // libcurl reports success if the connection ends within the header fields.
+  const CURLcode code =
+    aCode == CURLE_OK && !transfer->mHeaderComplete ? CURLE_RECV_ERROR : aCode;
+  result.mFailure = Classify(code, result.mMayHaveRun);
   result.mResponse.mStatus = static_cast<int>(status);
-  if (aCode != CURLE_OK) {
-    result.mError = curl_easy_strerror(aCode);
+  if (code != CURLE_OK) {
+    result.mError = curl_easy_strerror(code);
   }
   Release(*transfer);
   transfer->mCallback(std::move(result));
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -41,6 +41,9 @@
   RepeatResponse,
   /** Sends header fields without end, also on the first request. */
   EndlessHeader,
+  /** Ends the connection within the header fields, also on the first
+   *  request. */
+  EndWithinHeader,
 };
 
 // A server that responds to the first request of each connection only, with a
@@ -79,6 +82,8 @@
 
   std::string mAddress;
   int mRequests = 0;
+  /** How many bytes of the header EndWithinHeader sends. */
+  std::size_t mHeaderBytesSent = 0;
 
   [[nodiscard]] std::size_t ConnectionCount() const
   {
@@ -123,6 +128,13 @@
           send(descriptor, fields.data(), fields.size(), MSG_NOSIGNAL);
           return;
         }
+        if (mSecondRequestAction == SecondRequestAction::EndWithinHeader) {
+          constexpr std::string_view kHeader =
+            "HTTP/1.1 200 OK\r\nOutcome: run\r\nContent-Length: 2\r\n\r\n";
+          send(descriptor, kHeader.data(), mHeaderBytesSent, MSG_NOSIGNAL);
+          shutdown(descriptor, SHUT_RDWR);
+          return;
+        }
         constexpr std::string_view kResponse =
           "HTTP/1.1 200 OK\r\nOutcome: not-run\r\nContent-Length: 2\r\n\r\nok";
         send(descriptor, kResponse.data(), kResponse.size(), MSG_NOSIGNAL);
@@ -212,6 +224,24 @@
   EXPECT_TRUE(result.mMayHaveRun);
 }
 
+// Guards against passing on a response whose header ended early, as a success
+// with an empty body.
+TEST(HttpClient, ResponseThatEndsWithinItsHeaderIsLost)
+{
+  EventLoop loop;
+  ClosingServer server(loop, SecondRequestAction::EndWithinHeader);
+  HttpClient client(loop, {});
+  // After the status line, within a field, after a field, and before the empty
+  // line is complete.
+  for (const std::size_t bytes : { 17U, 22U, 31U, 45U, 50U, 51U }) {
+    server.mHeaderBytesSent = bytes;
+    const HttpResult result =
+      CallAndWait(loop, client, { .mAddress = server.mAddress });
+    EXPECT_EQ(result.mFailure, HttpFailure::ConnectionLost) << bytes;
+    EXPECT_TRUE(result.mMayHaveRun) << bytes;
+  }
+}
+
 // Guards against reporting a refused connection as a call that may have run.
 TEST(HttpClient, RefusedConnectionIsNotReportedAsRun)
 {
