Answer all pipelined requests of a connection in a planned stop

Cause: after the stop signal, CallerServer closed each connection behind its next response. Change: during a stop a connection closes after the responses to all requests that wait on it, and takes no further ones. Result: CallerServerTest.CloseAfterResponsesAnswersAllPipelinedRequests fails with the old CallerServer.cpp and passes now. TargetClientTest.ResponseThatEndsWithinItsHeaderIsReportedAsLost passes with both.

--- a/libs/http/include/http/CallerServer.h
+++ b/libs/http/include/http/CallerServer.h
@@ -82,7 +82,8 @@
    *  timeouts also to requests and connections that are open now. */
   void SetLimits(const CallerLimits& aLimits);
 
-  /** Makes the server close each connection after its next response. */
+  /** Makes the server close each connection after the responses to the requests
+   *  that wait on it, or after its next response if none does. */
   void CloseAfterResponses();
 
   /** Closes the connections on which no request is being received or waits
--- a/libs/http/src/CallerServer.cpp
+++ b/libs/http/src/CallerServer.cpp
@@ -149,7 +149,7 @@
     std::weak_ptr<Connection> mConnection;
     HttpMessage mRequest;
     std::function<void()> mOnAbandoned;
-    std::string mResponse;
+    CallerResponse mResponse;
     bool mReady = false;
     bool mClose = false;
 
@@ -190,7 +190,10 @@
   void OnBytes(std::string_view aBytes)
   {
     mLastActivity = SteadyNow();
-    if (mIgnoringInput) {
+    // During a stop, the connection ends after the requests that wait on it.
+    // Callers send again what comes behind them, since it was not read.
+    if (mIgnoringInput ||
+        (mServer->mCloseAfterResponses && !mWaiting.empty())) {
       return;
     }
     if (mWaiting.size() < kMaxWaitingRequests && mHeldInput.empty()) {
@@ -230,6 +233,7 @@
   void ParseHeld()
   {
     if (mServer == nullptr || mIgnoringInput || mHeldInput.empty() ||
+        mServer->mCloseAfterResponses ||
         mWaiting.size() >= kMaxWaitingRequests) {
       return;
     }
@@ -282,14 +286,8 @@
 
   void OnResponse(Exchange& aExchange, CallerResponse aResponse)
   {
-    aExchange.mClose =
-      aExchange.mClose || aResponse.mClose || mServer->mCloseAfterResponses;
-    aExchange.mResponse =
-      ResponseText({ .mStatus = aResponse.mStatus,
-                     .mHeaders = std::move(aResponse.mHeaders),
-                     .mBody = std::move(aResponse.mBody) },
-                   aExchange.mClose,
-                   aExchange.mRequest.mMethod == "HEAD");
+    aExchange.mClose = aExchange.mClose || aResponse.mClose;
+    aExchange.mResponse = std::move(aResponse);
     aExchange.mReady = true;
     WriteReadyResponses();
   }
@@ -304,8 +302,17 @@
       mWaiting.pop_front();
       --mServer->mInFlight;
       mLastActivity = SteadyNow();
-      mStream->Write(exchange->mResponse);
-      if (exchange->mClose) {
+      // During a stop, requests that were handed over before are answered
+      // first.
+      const bool close =
+        exchange->mClose || (mServer->mCloseAfterResponses && mWaiting.empty());
+      mStream->Write(
+        ResponseText({ .mStatus = exchange->mResponse.mStatus,
+                       .mHeaders = std::move(exchange->mResponse.mHeaders),
+                       .mBody = std::move(exchange->mResponse.mBody) },
+                     close,
+                     exchange->mRequest.mMethod == "HEAD"));
+      if (close) {
         Impl& server = *std::exchange(mServer, nullptr);
         mStream->CloseWhenWritten();
         Abandon(server);
--- a/libs/http/tests/CallerServerTest.cpp
+++ b/libs/http/tests/CallerServerTest.cpp
@@ -183,6 +183,32 @@
   EXPECT_NE(mCaller->Read().find("last"), std::string::npos);
 }
 
+// Guards against a planned stop that closes a connection after the first of
+// several responses, although the other requests have been passed on.
+TEST_F(CallerServerTest, CloseAfterResponsesAnswersAllPipelinedRequests)
+{
+  Listen();
+  mCaller->Write(Get("/1") + Get("/2") + Get("/3"));
+  ASSERT_TRUE(WaitForRequests(3));
+  mServer->CloseAfterResponses();
+  Respond(0, "first");
+  Respond(2, "third");
+  mCaller->Write(Get("/4"));
+  RunFor(Millis{ 30 });
+  EXPECT_FALSE(mCaller->Ended());
+  Respond(1, "second");
+  ASSERT_TRUE(RunUntil([&] { return mCaller->Ended(); }));
+  const std::string received = mCaller->Read();
+  EXPECT_LT(received.find("first"), received.find("second"));
+  EXPECT_LT(received.find("second"), received.find("third"));
+  EXPECT_LT(received.find("third"), received.size());
+  EXPECT_EQ(received.find("Connection: close"),
+            received.rfind("Connection: close"));
+  EXPECT_GT(received.find("Connection: close"), received.find("second"));
+  EXPECT_EQ(mExchanges.size(), 3U) << "a request was taken during the stop";
+  EXPECT_TRUE(mAbandoned.empty());
+}
+
 TEST_F(CallerServerTest, MalformedRequestIsRejectedAfterEarlierResponses)
 {
   Listen();
--- a/libs/http/tests/TargetClientTest.cpp
+++ b/libs/http/tests/TargetClientTest.cpp
@@ -128,6 +128,21 @@
   EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost);
 }
 
+// Guards against a response whose header ended early being taken for a response
+// without length that ends with its connection.
+TEST_F(TargetClientTest, ResponseThatEndsWithinItsHeaderIsReportedAsLost)
+{
+  const std::string header = "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\r\n\r\n";
+  for (std::size_t bytes = 1; bytes < header.size(); ++bytes) {
+    Send("1");
+    ASSERT_TRUE(RequestArrives(bytes - 1, "1"));
+    mTargets[bytes - 1]->Write(header.substr(0, bytes));
+    mTargets[bytes - 1]->Close();
+    ASSERT_TRUE(ResultArrives());
+    EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost) << bytes;
+  }
+}
+
 TEST_F(TargetClientTest, ResponseWithoutLengthEndsWithConnection)
 {
   Send("1");
