Take no request during a planned stop that may outlast the process

Cause: a stopping sidecar took requests of callers for 3 s, and calls of other nodes for 0.4 s, whatever their deadline, and abandoned what was unfinished 0.4 s before the end of the grace period. Change: gateway::StopSchedule decides what is still taken: only what ends at its deadline before the process does. Others are refused at once as not run, with a Retry-After until callers are sent elsewhere.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -16,6 +16,7 @@
 #include <gateway/RoutingTable.h>
 #include <gateway/RunTimes.h>
 #include <gateway/StartupQueue.h>
+#include <gateway/StopSchedule.h>
 #include <gateway/TargetChoice.h>
 #include <http/CallerServer.h>
 #include <net/EventLoop.h>
@@ -78,6 +79,9 @@
    *  requests, which wait for the first routing table. */
   void SetRoutingTable(std::shared_ptr<gateway::RoutingTable> aTable);
 
+  /** Sets what is still taken on until the end of this process. */
+  void SetStop(const gateway::StopSchedule& aStop) { mStop = aStop; }
+
   /** Handles a new request of a caller. */
   void OnRequest(const std::shared_ptr<CallerExchange>& aExchange);
 
@@ -94,6 +98,9 @@
    *  estimated: no desired state or target is known, or too many requests are
    *  active. */
   static constexpr Millis kDefaultRetryAfter{ 300 };
+  /** The longest Retry-After, as a fraction of the caller's remaining time.
+   *  Callers obey values of up to a third of it. */
+  static constexpr double kMaxRetryAfterFraction = 0.3;
 
   struct ActiveRequest
   {
@@ -202,6 +209,7 @@
   gateway::RunTimes mRouteRunTimes;
   gateway::RunTimes mServiceRunTimes;
   std::shared_ptr<gateway::RoutingTable> mTable;
+  std::optional<gateway::StopSchedule> mStop;
   gateway::StartupQueue mStartupQueue;
   std::map<std::uint64_t, HeldRequest> mHeldRequests;
   Timer mHoldTimer;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -114,21 +114,31 @@
   }
   const Millis callerTimeout =
     CallerTimeout(request).value_or(rule->mRule.mTimeout);
+  const Millis deadline =
+    aArrivedAt + std::min(callerTimeout, rule->mRule.mTimeout);
+  if (mStop && !mStop->MayTakeRequest(deadline)) {
+    Refuse(*aExchange,
+           requestId,
+           503,
+           "node_stopping",
+           std::max(kDefaultRetryAfter,
+                    std::min(mStop->UntilCallersAreRedirected(now),
+                             callerTimeout * kMaxRetryAfterFraction)));
+    return;
+  }
   const std::uint64_t id = mNextId++;
   ActiveRequest& active = mActiveRequests[id];
-  active =
-    ActiveRequest{ .mExchange = aExchange,
-                   .mTable = mTable,
-                   .mRule = &rule->mRule,
-                   .mService = service,
-                   .mVersion = mDependencies.mChooseVersion(service),
-                   .mRequestId = std::move(requestId),
-                   .mHeaders = EndToEndHeaders(request.mHeaders),
-                   .mArrivedAt = aArrivedAt,
-                   .mRoutedAt = now,
-                   .mDeadline =
-                     aArrivedAt + std::min(callerTimeout, rule->mRule.mTimeout),
-                   .mCallerTimeout = callerTimeout };
+  active = ActiveRequest{ .mExchange = aExchange,
+                          .mTable = mTable,
+                          .mRule = &rule->mRule,
+                          .mService = service,
+                          .mVersion = mDependencies.mChooseVersion(service),
+                          .mRequestId = std::move(requestId),
+                          .mHeaders = EndToEndHeaders(request.mHeaders),
+                          .mArrivedAt = aArrivedAt,
+                          .mRoutedAt = now,
+                          .mDeadline = deadline,
+                          .mCallerTimeout = callerTimeout };
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
--- a/libs/sidecar/src/DispatcherAnswers.cpp
+++ b/libs/sidecar/src/DispatcherAnswers.cpp
@@ -13,9 +13,6 @@
 /** The shortest Retry-After; a caller that returns sooner would probably be
  *  refused again. */
 constexpr Millis kMinRetryAfter{ 100 };
-/** The longest Retry-After, as a fraction of the caller's remaining time.
- *  Callers obey values of up to a third of it. */
-constexpr double kMaxRetryAfterFraction = 0.3;
 /** Retry-After varies randomly by this fraction in either direction, so that
  *  refused callers do not return at the same time. */
 constexpr double kRetryAfterJitter = 0.35;
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -236,7 +236,7 @@
            .mPeerAddress = mSettings.mPeerAddress,
            .mIncarnation = mIncarnation,
            .mSequence = mSequence,
-           .mLeaving = mStopping,
+           .mLeaving = mStop.has_value(),
            .mTarget = mLocalTarget.Target() };
 }
 
@@ -249,7 +249,7 @@
   const auto& target = mLocalTarget.Target();
   const bool targetLeaves =
     target && target->mState != gateway::TargetState::Ready;
-  if (mStopping && !targetLeaves) {
+  if (mStop && !targetLeaves) {
     // The next process starts beside the same target, so the stored record
     // stays valid. The broadcast tells the other nodes that this process stops.
     return;
@@ -431,7 +431,7 @@
 {
   // While the store is unavailable, linked nodes provide the same records.
   const bool knowsTargets = mSync.NodesRead() || mMesh.LinkCount() > 0;
-  return !mStopping && mRoutingTable && knowsTargets;
+  return !mStop && mRoutingTable && knowsTargets;
 }
 
 std::size_t
@@ -483,7 +483,6 @@
 Sidecar::Stop(std::function<void()> aStopped)
 {
   mImpl->mOnStopped = std::move(aStopped);
-  mImpl->mStopping = true;
   mImpl->mStopStarted = SteadyNow();
   mImpl->mLog.WriteStateChange(
     "node",
@@ -495,3 +494,8 @@
 }
 
 } // namespace papayaway::sidecar
+  mImpl->mStop.emplace(
+    gateway::StopScheduleOptions{ .mGracePeriod =
+                                    mImpl->mSettings.mGracePeriod },
+    mImpl->mStopStarted);
+  mImpl->mDispatcher.SetStop(*mImpl->mStop);
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -13,6 +13,7 @@
 #include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
 #include <http/CallerServer.h>
+#include <gateway/StopSchedule.h>
 #include <net/HttpServer.h>
 #include <sidecar/CrashGuard.h>
 #include <sidecar/Dispatcher.h>
@@ -106,7 +107,9 @@
   std::map<std::pair<LinkId, std::uint64_t>, CallMessage> mReceivedCalls;
   /** Expires with this object, which deferred callbacks may outlive. */
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
-  bool mStopping = false;
+  /** What this process still takes on after the stop signal; nullopt before
+   *  it. */
+  std::optional<gateway::StopSchedule> mStop;
   Millis mStopStarted;
   std::function<void()> mOnStopped;
 
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -18,9 +18,6 @@
 /** The shortest time between two queries while this node has no desired state
  *  and can't serve callers. */
 constexpr Millis kInitialQueryInterval{ 300 };
-/** For how long a stopping node still runs calls from other nodes, which may
- *  have sent them before they learned of the stop. */
-constexpr Millis kServeAfterStop{ 400 };
 
 } // namespace
 
@@ -138,7 +135,8 @@
 Sidecar::Impl::ServeCall(LinkId aLink, CallMessage aCall)
 {
   const std::uint64_t callId = aCall.mId;
-  if (mStopping && SteadyNow() - mStopStarted > kServeAfterStop) {
+  const Millis now = SteadyNow();
+  if (mStop && !mStop->MayTakeCall(now + aCall.mTimeLeft, now)) {
     mMesh.Reply(aLink,
                 ReplyMessage{ .mId = callId,
                               .mOutcome = CallOutcome::NotRun,
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -14,14 +14,6 @@
 constexpr Millis kLoadBroadcastPeriod{ 1000 };
 /** How often rollouts are advanced. */
 constexpr Millis kRolloutPeriod{ 200 };
-/** For how long callers are still accepted after the stop signal. The platform
- *  sends callers elsewhere after two failed readiness checks, a second
- *  apart. */
-constexpr Millis kAcceptAfterStop{ 3000 };
-/** Unfinished requests are abandoned this long before the end of the grace
- *  period, at which the process would be killed. */
-constexpr Millis kStopReserve{ 400 };
-
 /** A tick that is late by this much shows that the loop was blocked or that the
  *  host gave the process no processor time. */
 constexpr Millis kLoopDelay{ 250 };
@@ -104,7 +96,7 @@
     mLastRolloutTick = now;
     mRollouts.Tick(mSettings.mName, mIncarnation, now);
   }
-  if (mStopping) {
+  if (mStop) {
     ContinueStop(now);
   }
 }
@@ -112,20 +104,19 @@
 void
 Sidecar::Impl::ContinueStop(Millis aNow)
 {
-  const Millis age = aNow - mStopStarted;
-  if (age < kAcceptAfterStop) {
+  if (mStop->AcceptsCallers(aNow)) {
     return;
   }
   mCallerServer->StopAccepting();
   mCallerServer->CloseIdle();
   const bool idle = mCallerServer->InFlight() == 0 && mPeerCalls.empty();
-  if (!idle && age < mSettings.mGracePeriod - kStopReserve) {
+  if (!idle && aNow < mStop->End()) {
     return;
   }
   mTickTimer.Stop();
   mLog.WriteStateChange("node",
                         "stopped",
-                        { { "after_ms", age.WholeMillis() },
+                        { { "after_ms", (aNow - mStopStarted).WholeMillis() },
                           { "unfinished", mCallerServer->InFlight() } });
   mLog.Flush();
   mOnStopped();
