Put a series of desired states in force at most every 0.4 s

Cause: in a series of changes with gaps of 60 to 80 ms, a node of 0.1 cores put each version in force that it received, although the next one replaced it. Change: the newest version is put in force, at most one every 0.4 s; the first one at once.

--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -19,6 +19,9 @@
 /** Random part of that delay, relative to it, so that nodes do not read the
  *  store at the same time. */
 constexpr double kDirectReadJitter = 0.6;
+/** The shortest time between two desired states that are put in force. In a
+ *  series of changes each replaces the one before. */
+constexpr Millis kMinStateInterval{ 400 };
 /** How much later than one check-in period a target's first check-in may
  *  arrive. */
 constexpr Millis kCheckInSlack{ 200 };
@@ -318,7 +321,8 @@
     BroadcastOperatorRow(aOld, aRow);
   }
   if (aRow.mKey == names.mDesiredStateKey) {
-    ApplyState(aRow.mValue, mRowFromPeer ? "peer" : "store");
+    mPendingStateSource = mRowFromPeer ? "peer" : "store";
+    ApplyPendingState(SteadyNow());
     return;
   }
   if (!aRow.mKey.starts_with(names.mRolloutPrefix) || aRow.mDeleted) {
@@ -344,6 +348,20 @@
   const Expected<gateway::DesiredState> state =
     mProtocol.DecodeDesiredState(aText);
   if (!state) {
+void
+Sidecar::Impl::ApplyPendingState(Millis aNow)
+{
+  const bool recent =
+    mRoutingTable && aNow - mStateAppliedAt < kMinStateInterval;
+  const auto row =
+    mSync.OperatorRows().find(mProtocol.Operator().mDesiredStateKey);
+  if (mPendingStateSource == nullptr || recent ||
+      row == mSync.OperatorRows().end()) {
+    return;
+  }
+  ApplyState(row->second.mValue, std::exchange(mPendingStateSource, nullptr));
+}
+
     mMetrics.mBadInput.Increment();
     mLog.WriteStateChange(
       "state",
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -66,6 +66,9 @@
   Millis mStateAppliedAt;
   /** The routing table of the desired state in force, or null before the first
    *  one. */
+  /** Where the newest desired state came from if it is not in force yet, or
+   *  null. */
+  const char* mPendingStateSource = nullptr;
   std::shared_ptr<gateway::RoutingTable> mRoutingTable;
   /** A version of the desired state that another node has reported and this
    *  node lacks, and when this was noticed. */
@@ -142,6 +145,12 @@
    *  @return whether it was put in force. */
   bool ApplyState(const std::string& aText, const char* aSource);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
+  /** Sends to the first reachable link nodes of a data centre. */
+  void SendToLinkNodes(const std::string& aDataCentre,
+                       const PeerMessage& aMessage);
+  /** Puts the newest known desired state in force unless the last one was put
+   *  in force too recently. */
+  void ApplyPendingState(Millis aNow);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
   void ServeReceivedCalls();
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -78,6 +78,8 @@
     mCrashes.OnTick(WallNow());
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
+  UpdateLinks();
+  ApplyPendingState(now);
     }
     SendOwnLoad(now);
     SendDataCentreLoads(now);
