Follow the store in two nodes of each region; index nodes by group

Cause: two nodes of each data centre read every change of the desired state whole. At 295 machines the cost of a record grew with the number of nodes: addresses were compared with all records, links were planned anew for each record, and every node forwarded each record that it read from the store. Change: gateway::LinkTopology plans links and names the candidates for following the store, the link nodes of a region. Followers send deltas to two link nodes of each other data centre of the region, which forward them. NodeDirectory keeps the nodes by address, data centre and service. Only the relay forwards records from the store. A candidate costs one lookup of its load, and no lookup of a link if it is in another data centre and its load is fresh.

--- a/libs/gateway/include/gateway/FollowerElection.h
+++ b/libs/gateway/include/gateway/FollowerElection.h
@@ -21,7 +21,7 @@
   Working,
 };
 
-/** A node of the same data centre. */
+/** A node that may follow the store on behalf of a group of nodes. */
 struct FollowerCandidate
 {
   std::string_view mNode;
@@ -30,7 +30,7 @@
 
 struct FollowerElectionOptions
 {
-  /** How many nodes of a data centre follow the store. The second one keeps
+  /** How many nodes of the group follow the store. The second one keeps
    *  reading changes while the first one hangs, which is detected only after
    *  1.6 s. */
   std::size_t mFollowers = 2;
@@ -47,7 +47,7 @@
  *
  * While the store answers no node, additional followers do not help: their
  * calls are billed, and all of them would read the rows over the link between
- * regions as soon as the store returns. Therefore the first nodes by name keep
+ * regions as soon as the store returns. Therefore the first candidates keep
  * trying. The other nodes try in rotation, a few at a time, because the store
  * may refuse some nodes and serve the others.
  */
@@ -62,8 +62,8 @@
 
   /**
    * @param aOwn the name of this node.
-   * @param aNodes the reachable nodes of the data centre, including this one,
-   *    ordered by name.
+   * @param aNodes the reachable candidates of the group, including this node if
+   *    it is one, in the same order on all nodes.
    * @return whether this node follows the store from now on.
    */
   bool Decide(std::string_view aOwn,
--- a/libs/gateway/include/gateway/NodeRecord.h
+++ b/libs/gateway/include/gateway/NodeRecord.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 
@@ -66,30 +65,4 @@
   }
 };
 
-/**
- * The newest record of each node, regardless of the order in which the records
- * arrive.
- *
- * A new node may reuse the address of a node that was removed for good. Of two
- * nodes with the same address, only the one that started later is kept.
- */
-class NodeDirectory
-{
-public:
-  /** Stores the record unless it is outdated.
-   *  @return whether it was stored. */
-  bool Merge(const NodeRecord& aRecord);
-
-  void Remove(const std::string& aNode) { mRecords.erase(aNode); }
-
-  [[nodiscard]] const NodeRecord* Find(const std::string& aNode) const;
-  [[nodiscard]] const std::map<std::string, NodeRecord>& All() const
-  {
-    return mRecords;
-  }
-
-private:
-  std::map<std::string, NodeRecord> mRecords;
-};
-
 } // namespace papayaway::gateway
--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <base/Error.h>
@@ -109,7 +110,7 @@
 
   /** @return whether the node has an open link that received something within
    *    mSuspectAfter. */
-  [[nodiscard]] bool Reachable(const std::string& aNode) const;
+  [[nodiscard]] bool Reachable(const std::string& aNode, Millis aNow) const;
 
   /** @return whether the handshake of the link is still in progress. */
   [[nodiscard]] bool IsOpening(LinkId aLink) const;
@@ -135,6 +136,8 @@
     Millis mLastReceived;
     Millis mLastUsed;
     bool mOpen = false;
+    /** Whether the other end has sent its first record. */
+    bool mIdentified = false;
     /** Whether SendOnDemand() opened the link or has queued messages on it. */
     bool mOnDemand = false;
     std::vector<QueuedMessage> mQueued;
@@ -156,6 +159,8 @@
   [[nodiscard]] LinkId BestLink(const std::string& aNode) const;
   /** @return the link to a node whose handshake is in progress, or 0. */
   [[nodiscard]] LinkId OpeningLink(const std::string& aNode) const;
+  /** Removes a link that was closed or has opened from mOpening. */
+  void ForgetOpening(LinkId aId, const std::string& aNode);
   LinkId OpenLink(const std::string& aNode,
                   const std::string& aAddress,
                   Millis aTimeout);
@@ -169,7 +174,9 @@
   std::map<LinkId, Link> mLinks;
   /** The links whose other end has identified itself, by node name, in the
    *  order of identification. */
-  std::map<std::string, std::vector<LinkId>, std::less<>> mByNode;
+  std::unordered_map<std::string, std::vector<LinkId>> mByNode;
+  /** The links whose handshake is in progress, by node name. */
+  std::unordered_map<std::string, LinkId> mOpening;
   std::map<std::string, PersistentPeer> mPersistentPeers;
   /** When opening a link on demand last failed, by node name. */
   std::map<std::string, Millis> mLastFailures;
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -110,8 +110,9 @@
   /** @return whether following the operator rows works. */
   [[nodiscard]] gateway::FollowState FollowingState() const;
 
-  /** Merges an operator row, which may come from another node. */
-  void MergeOperatorRow(const Row& aRow);
+  /** Merges an operator row, which may come from another node.
+   *  @return whether it was newer than the known one. */
+  bool MergeOperatorRow(const Row& aRow);
 
   /** @return the newest known operator rows, by key. */
   [[nodiscard]] const std::map<std::string, Row>& OperatorRows() const
--- a/libs/sidecar/include/sidecar/TargetDirectory.h
+++ b/libs/sidecar/include/sidecar/TargetDirectory.h
@@ -2,12 +2,13 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include <gateway/NodeRecord.h>
+#include <gateway/NodeDirectory.h>
 #include <gateway/TargetChoice.h>
 #include <sidecar/PeerMessages.h>
 
@@ -30,10 +31,13 @@
 public:
   /** @param aDataCentre the data centre of this node.
    *  @param aRegion the region of this node.
-   *  @param aIsUsable returns whether calls can be sent to a node now. */
+   *  @param aIsUsable returns whether calls can be sent to a node now, given
+   *    when its load was last received. */
   TargetDirectory(std::string aDataCentre,
                   std::string aRegion,
-                  std::function<bool(const std::string&)> aIsUsable)
+                  std::function<bool(const gateway::NodeRecord&,
+                                     std::optional<Millis> aLoadReceivedAt,
+                                     Millis aNow)> aIsUsable)
     : mDataCentre(std::move(aDataCentre))
     , mRegion(std::move(aRegion))
     , mIsUsable(std::move(aIsUsable))
@@ -54,8 +58,9 @@
   [[nodiscard]] std::map<std::string, gateway::TargetLoad> DataCentreLoads()
     const;
 
-  /** @return whether the node's load was received less than aAge ago. */
-  [[nodiscard]] bool LoadIsFresh(const std::string& aNode, Millis aAge) const;
+  /** @return whether calls can be sent to the node now. */
+  [[nodiscard]] bool IsUsable(const gateway::NodeRecord& aRecord,
+                              Millis aNow) const;
 
   /** Counts a call sent to the node since its last load report. */
   void OnCallSent(const std::string& aNode);
@@ -90,7 +95,8 @@
 
   std::string mDataCentre;
   std::string mRegion;
-  std::function<bool(const std::string&)> mIsUsable;
+  std::function<bool(const gateway::NodeRecord&, std::optional<Millis>, Millis)>
+    mIsUsable;
   gateway::NodeDirectory mNodes;
   std::unordered_map<std::string, LoadEntry> mLoads;
 };
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -71,6 +71,7 @@
           Link& link = mLinks.at(aId);
           link.mOpen = true;
           link.mLastReceived = SteadyNow();
+          ForgetOpening(aId, link.mNode);
           link.mSocket->Send(
             EncodeMessage(RecordMessage{ mHandlers.mOwnRecord() }));
           for (const QueuedMessage& message : std::exchange(link.mQueued, {})) {
@@ -102,9 +103,7 @@
     return;
   }
   const auto* const record = std::get_if<RecordMessage>(&*message);
-  if (link.mNode.empty() || mByNode.find(link.mNode) == mByNode.end() ||
-      std::find(mByNode[link.mNode].begin(), mByNode[link.mNode].end(), aId) ==
-        mByNode[link.mNode].end()) {
+  if (!link.mIdentified) {
     if (record == nullptr) {
       return;
     }
@@ -115,6 +114,7 @@
     }
     // The first record on a link identifies the node at the other end.
     link.mNode = record->mRecord.mNode;
+    link.mIdentified = true;
     mByNode[link.mNode].push_back(aId);
     mLog.WriteStateChange("peers", "linked", { { "peer", link.mNode } });
     const auto peer = mPersistentPeers.find(link.mNode);
@@ -141,10 +141,10 @@
   }
   Link link = std::move(found->second);
   mLinks.erase(found);
-  bool wasIdentified = false;
-  const auto links = mByNode.find(link.mNode);
-  if (links != mByNode.end()) {
-    wasIdentified = std::erase(links->second, aId) > 0;
+  ForgetOpening(aId, link.mNode);
+  if (link.mIdentified) {
+    const auto links = mByNode.find(link.mNode);
+    std::erase(links->second, aId);
     if (links->second.empty()) {
       mByNode.erase(links);
     }
@@ -152,11 +152,11 @@
   if (!link.mOpen && link.mOnDemand) {
     mLastFailures[link.mNode] = SteadyNow();
   }
-  if (wasIdentified) {
+  if (link.mIdentified) {
     mLog.WriteStateChange(
       "peers", "link_lost", { { "peer", link.mNode }, { "reason", aReason } });
   }
-  if (wasIdentified || link.mOnDemand) {
+  if (link.mIdentified || link.mOnDemand) {
     mHandlers.mLinkLost(aId, link.mOpen);
   }
 }
@@ -183,11 +183,17 @@
 LinkId
 PeerMesh::OpeningLink(const std::string& aNode) const
 {
-  const auto found =
-    std::find_if(mLinks.begin(), mLinks.end(), [&](const auto& aEntry) {
-      return !aEntry.second.mOpen && aEntry.second.mNode == aNode;
-    });
-  return found == mLinks.end() ? 0 : found->first;
+  const auto found = mOpening.find(aNode);
+  return found == mOpening.end() ? 0 : found->second;
+}
+
+void
+PeerMesh::ForgetOpening(LinkId aId, const std::string& aNode)
+{
+  const auto found = mOpening.find(aNode);
+  if (found != mOpening.end() && found->second == aId) {
+    mOpening.erase(found);
+  }
 }
 
 LinkId
@@ -309,11 +315,10 @@
 }
 
 bool
-PeerMesh::Reachable(const std::string& aNode) const
+PeerMesh::Reachable(const std::string& aNode, Millis aNow) const
 {
   const LinkId id = BestLink(aNode);
-  return id != 0 &&
-         SteadyNow() - mLinks.at(id).mLastReceived < mOptions.mSuspectAfter;
+  return id != 0 && aNow - mLinks.at(id).mLastReceived < mOptions.mSuspectAfter;
 }
 
 LinkId
@@ -324,6 +329,7 @@
   const LinkId id = mNextId++;
   Link& link = mLinks[id];
   link.mNode = aNode;
+  mOpening.insert_or_assign(aNode, id);
   link.mSocket = PeerSocket::Connect(
     mLoop, aAddress, kAuthorization, {}, { .mHandshakeTimeout = aTimeout });
   SetSocketHandlers(id, link);
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -56,10 +56,16 @@
         .mOwnRecord = [this] { return OwnRecord(); } },
       mLog,
       mRandom)
-  , mTargets(
-      aSettings.mDataCentre,
-      aSettings.mRegion,
-      [this](const std::string& aNode) { return CanReceiveCalls(aNode); })
+  , mTargets(aSettings.mDataCentre,
+             aSettings.mRegion,
+             [this](const NodeRecord& aRecord,
+                    std::optional<Millis> aLoadReceivedAt,
+                    Millis aNow) {
+               return CanReceiveCalls(aRecord, aLoadReceivedAt, aNow);
+             })
+  , mTopology({ .mNode = aSettings.mName,
+                .mDataCentre = aSettings.mDataCentre,
+                .mRegion = aSettings.mRegion })
   , mRollouts(
       { .mTargets = mTargets,
         .mLog = mLog,
@@ -292,13 +298,15 @@
   if (aRecord.mNode == mSettings.mName) {
     return;
   }
-  UpdateLinks();
   // Only some nodes have links to other data centres. They forward records from
   // there within their own data centre. The relay sends those of its own data
-  // centre to the other relays.
-  if (!InOwnDataCentre(aRecord.mNode) && !InOwnDataCentre(aFrom)) {
+  // centre to the other relays. Every node reads the records in the store, so
+  // only the relay forwards what it finds there.
+  const bool fromStore = aFrom.empty();
+  const bool ownDataCentre = aRecord.mDataCentre == mSettings.mDataCentre;
+  if (!ownDataCentre && (fromStore ? IsRelay() : !InOwnDataCentre(aFrom))) {
     SendInDataCentre(RecordMessage{ aRecord });
-  } else if (InOwnDataCentre(aRecord.mNode) && IsRelay()) {
+  } else if (ownDataCentre && IsRelay()) {
     SendToAllRelays(RecordMessage{ aRecord });
   }
   mLog.WriteStateChange(
@@ -342,12 +350,6 @@
   mRollouts.OnOrder(*order);
 }
 
-bool
-Sidecar::Impl::ApplyState(const std::string& aText, const char* aSource)
-{
-  const Expected<gateway::DesiredState> state =
-    mProtocol.DecodeDesiredState(aText);
-  if (!state) {
 void
 Sidecar::Impl::ApplyPendingState(Millis aNow)
 {
@@ -362,6 +364,12 @@
   ApplyState(row->second.mValue, std::exchange(mPendingStateSource, nullptr));
 }
 
+bool
+Sidecar::Impl::ApplyState(const std::string& aText, const char* aSource)
+{
+  const Expected<gateway::DesiredState> state =
+    mProtocol.DecodeDesiredState(aText);
+  if (!state) {
     mMetrics.mBadInput.Increment();
     mLog.WriteStateChange(
       "state",
@@ -384,9 +392,11 @@
                   .mMaxBodyBytes = limits.mMaxBodyBytes },
       .mHeaderTimeout = limits.mHeaderTimeout,
       .mIdleTimeout = limits.mIdleTimeout });
-  // Decoding a state takes several times its size in memory; return it to the
-  // operating system.
-  malloc_trim(0);
+  if (first) {
+    // Decoding all rules takes several times their size in memory; return it to
+    // the operating system.
+    malloc_trim(0);
+  }
   mMetrics.mStateVersion.Set(static_cast<double>(state->mVersion));
   mLog.WriteStateChange("state",
                         "desired_state_in_force",
@@ -459,10 +469,13 @@
     return std::hash<std::string>()(aNode + "/" + aService);
   };
   const std::size_t own = order(mSettings.mName);
+  const Millis now = SteadyNow();
   std::size_t rank = 0;
-  for (const auto& [node, record] : mTargets.Nodes().All()) {
-    const bool alive = !record.mLeaving && CanReceiveCalls(node);
-    rank += alive && order(node) < own ? 1 : 0;
+  for (const auto& [name, dataCentre] : mTargets.Nodes().DataCentres()) {
+    for (const auto& [node, record] : dataCentre.mNodes) {
+      rank +=
+        order(record->mNode) < own && mTargets.IsUsable(*record, now) ? 1 : 0;
+    }
   }
   return rank;
 }
@@ -502,6 +515,11 @@
 {
   mImpl->mOnStopped = std::move(aStopped);
   mImpl->mStopStarted = SteadyNow();
+  mImpl->mStop.emplace(
+    gateway::StopScheduleOptions{ .mGracePeriod =
+                                    mImpl->mSettings.mGracePeriod },
+    mImpl->mStopStarted);
+  mImpl->mDispatcher.SetStop(*mImpl->mStop);
   mImpl->mLog.WriteStateChange(
     "node",
     "stopping",
@@ -512,8 +530,3 @@
 }
 
 } // namespace papayaway::sidecar
-  mImpl->mStop.emplace(
-    gateway::StopScheduleOptions{ .mGracePeriod =
-                                    mImpl->mSettings.mGracePeriod },
-    mImpl->mStopStarted);
-  mImpl->mDispatcher.SetStop(*mImpl->mStop);
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -9,11 +9,12 @@
 #include <utility>
 
 #include <base/Random.h>
+#include <gateway/LinkTopology.h>
 #include <gateway/LoadReportFilter.h>
 #include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
-#include <http/CallerServer.h>
 #include <gateway/StopSchedule.h>
+#include <http/CallerServer.h>
 #include <net/HttpServer.h>
 #include <sidecar/CrashGuard.h>
 #include <sidecar/Dispatcher.h>
@@ -49,6 +50,7 @@
   SidecarMetrics mMetrics;
   PeerMesh mMesh;
   TargetDirectory mTargets;
+  gateway::LinkTopology mTopology;
   RolloutAgent mRollouts;
   CrashGuard mCrashes;
   LocalTargetProxy mLocalTarget;
@@ -64,11 +66,11 @@
   Millis mLastRolloutTick;
   Millis mLastLoadBroadcast;
   Millis mStateAppliedAt;
-  /** The routing table of the desired state in force, or null before the first
-   *  one. */
   /** Where the newest desired state came from if it is not in force yet, or
    *  null. */
   const char* mPendingStateSource = nullptr;
+  /** The routing table of the desired state in force, or null before the first
+   *  one. */
   std::shared_ptr<gateway::RoutingTable> mRoutingTable;
   /** A version of the desired state that another node has reported and this
    *  node lacks, and when this was noticed. */
@@ -80,7 +82,7 @@
    *  of the region, and to other regions. */
   SentLoads mLoadsSentInRegion;
   SentLoads mLoadsSentToOtherRegions;
-  /** The follow state that each node of the own data centre last reported. */
+  /** The follow state that each node of the own region last reported. */
   std::map<std::string, gateway::FollowState> mFollowStates;
   gateway::FollowerElection mFollowerElection;
   /** When this node reads the desired state from the store if it has not
@@ -137,20 +139,22 @@
   /** Applies a new or changed operator row.
    *  @param aOld the row that it replaces, with version 0 if there is none. */
   void OnOperatorRow(const Row& aOld, const Row& aRow);
-  void OnPeerOperatorRow(const OperatorRowMessage& aMessage);
-  /** Sends a changed operator row to the nodes of the data centre. */
+  void OnPeerOperatorRow(const std::string& aFrom,
+                         const OperatorRowMessage& aMessage);
+  /** Sends a changed operator row to the nodes of the data centre and to link
+   *  nodes of the other data centres of the region. */
   void BroadcastOperatorRow(const Row& aOld, const Row& aRow);
-  /** Decodes a desired state and puts it in force if it is newer.
-   *  @param aSource where it came from, for the log.
-   *  @return whether it was put in force. */
-  bool ApplyState(const std::string& aText, const char* aSource);
-  void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   /** Sends to the first reachable link nodes of a data centre. */
   void SendToLinkNodes(const std::string& aDataCentre,
                        const PeerMessage& aMessage);
   /** Puts the newest known desired state in force unless the last one was put
    *  in force too recently. */
   void ApplyPendingState(Millis aNow);
+  /** Decodes a desired state and puts it in force if it is newer.
+   *  @param aSource where it came from, for the log.
+   *  @return whether it was put in force. */
+  bool ApplyState(const std::string& aText, const char* aSource);
+  void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
   void ServeReceivedCalls();
@@ -186,12 +190,17 @@
   void SendOperatorRows(LinkId aLink);
   /** Starts or stops following the store, as the follower election decides. */
   void UpdateFollowerRole(Millis aNow);
-  /** Selects the nodes to which this node keeps links. */
+  /** Selects the nodes to which this node keeps links, after records have
+   *  changed. */
   void UpdateLinks();
   /** @return whether calls can be sent to the node now. */
-  [[nodiscard]] bool CanReceiveCalls(const std::string& aNode) const;
+  [[nodiscard]] bool CanReceiveCalls(const gateway::NodeRecord& aRecord,
+                                     std::optional<Millis> aLoadReceivedAt,
+                                     Millis aNow) const;
   /** @return whether the node is known to be in the own data centre. */
   [[nodiscard]] bool InOwnDataCentre(const std::string& aNode) const;
+  /** @return whether the node is known to be in the own region. */
+  [[nodiscard]] bool InOwnRegion(const std::string& aNode) const;
   /** @return the relay of a data centre, which exchanges messages with other
    *    data centres on its behalf: the first by name of its nodes that this
    *    node can reach, or "" if there is none. */
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-/** How many nodes of each data centre keep links to other data centres. With
- *  three, two may fail at the same time. */
-constexpr std::size_t kLinkNodesPerDataCentre = 3;
+/** How many link nodes of another data centre receive a changed operator row
+ *  directly. The second one forwards it while the first one hangs, which is
+ *  detected only after 1.6 s. */
+constexpr std::size_t kRowCopiesPerDataCentre = 2;
 /** For how long after reading the nodes' table a node assumes that the listed
  *  nodes are alive, since links to them are not open yet. */
 constexpr Millis kNodesTableGrace{ 1000 };
@@ -34,57 +35,45 @@
 }
 
 bool
-Sidecar::Impl::CanReceiveCalls(const std::string& aNode) const
+Sidecar::Impl::InOwnRegion(const std::string& aNode) const
 {
-  if (aNode == mSettings.mName || mMesh.Reachable(aNode)) {
-    return true;
-  }
+  const NodeRecord* const record = mTargets.Nodes().Find(aNode);
+  return record != nullptr && record->mRegion == mSettings.mRegion;
+}
+
+bool
+Sidecar::Impl::CanReceiveCalls(const NodeRecord& aRecord,
+                               std::optional<Millis> aLoadReceivedAt,
+                               Millis aNow) const
+{
+  const std::string& node = aRecord.mNode;
   // Links to other data centres are opened on demand, so a missing link does
   // not make a node there unusable.
-  return !InOwnDataCentre(aNode) && !mMesh.HasFailedRecently(aNode) &&
-         mTargets.LoadIsFresh(aNode, kMaxLoadAge);
+  const bool hasFreshLoad = aRecord.mDataCentre != mSettings.mDataCentre &&
+                            aLoadReceivedAt &&
+                            aNow - *aLoadReceivedAt < kMaxLoadAge;
+  return node == mSettings.mName ||
+         (hasFreshLoad && !mMesh.HasFailedRecently(node)) ||
+         mMesh.Reachable(node, aNow);
 }
 
 void
 Sidecar::Impl::UpdateLinks()
 {
-  // The first nodes of each data centre by name, except those that are leaving.
-  std::map<std::string, std::vector<const NodeRecord*>> linkNodes;
-  std::map<std::string, std::string> peers;
-  bool isLinkNode = false;
-  for (const auto& [node, record] : mTargets.Nodes().All()) {
-    if (record.mLeaving) {
-      continue;
-    }
-    auto& nodes = linkNodes[record.mDataCentre];
-    if (nodes.size() < kLinkNodesPerDataCentre) {
-      nodes.push_back(&record);
-      isLinkNode = isLinkNode || node == mSettings.mName;
-    }
-    if (record.mDataCentre == mSettings.mDataCentre &&
-        node != mSettings.mName) {
-      peers.emplace(node, record.mPeerAddress);
-    }
+  if (mTopology.Update(mTargets.Nodes())) {
+    mMesh.SetPersistentPeers(mTopology.Peers());
   }
-  if (isLinkNode) {
-    for (const auto& [dataCentre, nodes] : linkNodes) {
-      for (const NodeRecord* const record : nodes) {
-        if (record->mNode != mSettings.mName) {
-          peers.emplace(record->mNode, record->mPeerAddress);
-        }
-      }
-    }
-  }
-  mMesh.SetPersistentPeers(peers);
 }
 
 std::string
 Sidecar::Impl::RelayOf(const std::string& aDataCentre) const
 {
-  for (const auto& [node, record] : mTargets.Nodes().All()) {
-    if (record.mDataCentre == aDataCentre && !record.mLeaving &&
-        (node == mSettings.mName || mMesh.Reachable(node))) {
-      return node;
+  const Millis now = SteadyNow();
+  for (const auto& [node, record] :
+       mTargets.Nodes().InDataCentre(aDataCentre)) {
+    if (record->mNode == mSettings.mName ||
+        mMesh.Reachable(record->mNode, now)) {
+      return record->mNode;
     }
   }
   return {};
@@ -114,14 +103,8 @@
 void
 Sidecar::Impl::SendToRelays(const PeerMessage& aMessage, bool aOtherRegions)
 {
-  std::set<std::string> dataCentres;
-  for (const auto& [node, record] : mTargets.Nodes().All()) {
-    if (record.mDataCentre != mSettings.mDataCentre &&
-        (record.mRegion != mSettings.mRegion) == aOtherRegions) {
-      dataCentres.insert(record.mDataCentre);
-    }
-  }
-  for (const std::string& dataCentre : dataCentres) {
+  for (const std::string& dataCentre :
+       mTopology.OtherDataCentres(aOtherRegions)) {
     const std::string relay = RelayOf(dataCentre);
     if (!relay.empty()) {
       mMesh.Send(relay, aMessage);
@@ -136,7 +119,7 @@
     aNow - mLoadsSentInRegion.mSentAt >= kRegionLoadsPeriod;
   const bool otherRegionsDue =
     aNow - mLoadsSentToOtherRegions.mSentAt >= kOtherRegionsLoadsPeriod;
-  if ((!regionDue && !otherRegionsDue) || !IsRelay()) {
+  if ((!ownDue && !regionDue && !otherRegionsDue) || !IsRelay()) {
     return;
   }
   if (regionDue) {
@@ -231,10 +214,28 @@
     message.mPackedValue = gateway::Pack(aRow.mValue);
   }
   SendInDataCentre(message);
+  for (const std::string& dataCentre : mTopology.OtherDataCentres(false)) {
+    SendToLinkNodes(dataCentre, message);
+  }
+}
+
+void
+Sidecar::Impl::SendToLinkNodes(const std::string& aDataCentre,
+                               const PeerMessage& aMessage)
+{
+  const Millis now = SteadyNow();
+  std::size_t sent = 0;
+  for (const std::string& node : mTopology.LinkNodes(aDataCentre)) {
+    if (sent < kRowCopiesPerDataCentre && mMesh.Reachable(node, now)) {
+      mMesh.Send(node, aMessage);
+      ++sent;
+    }
+  }
 }
 
 void
-Sidecar::Impl::OnPeerOperatorRow(const OperatorRowMessage& aMessage)
+Sidecar::Impl::OnPeerOperatorRow(const std::string& aFrom,
+                                 const OperatorRowMessage& aMessage)
 {
   Row row{ .mTable = mProtocol.Operator().mOperatorTable,
            .mKey = aMessage.mKey,
@@ -261,8 +262,14 @@
   }
   row.mValue = std::move(*value);
   mRowFromPeer = true;
-  mSync.MergeOperatorRow(row);
+  const bool merged = mSync.MergeOperatorRow(row);
   mRowFromPeer = false;
+  const bool isQueriedState =
+    aMessage.mBaseVersion == 0 &&
+    aMessage.mKey == mProtocol.Operator().mDesiredStateKey;
+  if (merged && !isQueriedState && !InOwnDataCentre(aFrom)) {
+    SendInDataCentre(aMessage);
+  }
 }
 
 void
@@ -295,23 +302,24 @@
     // records.
     return;
   }
-  std::vector<gateway::FollowerCandidate> nodes;
-  for (const auto& [node, record] : mTargets.Nodes().All()) {
-    if (record.mDataCentre != mSettings.mDataCentre || record.mLeaving) {
-      continue;
-    }
-    const bool own = node == mSettings.mName;
-    if (!own && !mMesh.Reachable(node) && age >= kNodesTableGrace) {
-      continue;
-    }
+  UpdateLinks();
+  const auto isAlive = [&](const std::string& aNode) {
+    return aNode == mSettings.mName || mMesh.Reachable(aNode, aNow) ||
+           age < kNodesTableGrace;
+  };
+  const std::vector<std::string> followers =
+    mTopology.FollowerCandidates(isAlive);
+  std::vector<gateway::FollowerCandidate> candidates;
+  for (const std::string& node : followers) {
     const auto state = mFollowStates.find(node);
-    nodes.push_back({ .mNode = node,
-                      .mState = own ? mSync.FollowingState()
-                                : state == mFollowStates.end()
-                                  ? gateway::FollowState::Idle
-                                  : state->second });
+    candidates.push_back(
+      { .mNode = node,
+        .mState = node == mSettings.mName        ? mSync.FollowingState()
+                  : state == mFollowStates.end() ? gateway::FollowState::Idle
+                                                 : state->second });
   }
-  mSync.SetFollowing(mFollowerElection.Decide(mSettings.mName, nodes, aNow));
+  mSync.SetFollowing(
+    mFollowerElection.Decide(mSettings.mName, candidates, aNow));
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -69,7 +69,7 @@
     SendOperatorRows(aLink);
   } else if (const auto* const row =
                std::get_if<OperatorRowMessage>(&aMessage)) {
-    OnPeerOperatorRow(*row);
+    OnPeerOperatorRow(aNode, *row);
   } else if (const auto* const crash = std::get_if<CrashMessage>(&aMessage)) {
     if (mCrashes.OnCrashReport(*crash)) {
       Broadcast(*crash, aNode);
@@ -184,7 +184,7 @@
                       const LoadMessage& aMessage)
 {
   mTargets.OnLoad(aNode, aMessage.mLoad);
-  if (InOwnDataCentre(aNode)) {
+  if (InOwnRegion(aNode)) {
     const auto before =
       std::exchange(mFollowStates[aNode], aMessage.mFollowState);
     if (before != aMessage.mFollowState &&
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -70,6 +70,8 @@
       "node", "loop_delayed", { { "lag_ms", lag.WholeMillis() } });
   }
   mLastTick = now;
+  UpdateLinks();
+  ApplyPendingState(now);
   mMesh.Tick(now);
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
   if (now - mLastLoadCheck >= kLoadPeriod) {
@@ -78,8 +80,6 @@
     mCrashes.OnTick(WallNow());
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
-  UpdateLinks();
-  ApplyPendingState(now);
     }
     SendOwnLoad(now);
     SendDataCentreLoads(now);
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -168,14 +168,16 @@
   }
 }
 
-void
+bool
 StoreSync::MergeOperatorRow(const Row& aRow)
 {
   Row& newest = mOperatorRows[aRow.mKey];
-  if (aRow.mVersion > newest.mVersion) {
-    const Row old = std::exchange(newest, aRow);
-    mHandlers.mOperatorRowChanged(old, aRow);
+  if (aRow.mVersion <= newest.mVersion) {
+    return false;
   }
+  const Row old = std::exchange(newest, aRow);
+  mHandlers.mOperatorRowChanged(old, aRow);
+  return true;
 }
 
 void
--- a/libs/sidecar/src/TargetDirectory.cpp
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -11,14 +11,6 @@
 
 namespace {
 
-bool
-IsReadyFor(const NodeRecord& aRecord, std::string_view aService)
-{
-  return !aRecord.mLeaving && aRecord.mTarget &&
-         aRecord.mTarget->mState == TargetState::Ready &&
-         aRecord.mTarget->mService == aService;
-}
-
 bool
 AllowsVersion(const TargetQuery& aQuery, const std::string& aVersion)
 {
@@ -70,11 +62,12 @@
 std::map<std::string, gateway::TargetLoad>
 TargetDirectory::DataCentreLoads() const
 {
+  const Millis now = SteadyNow();
   std::map<std::string, gateway::TargetLoad> loads;
-  for (const auto& [node, record] : mNodes.All()) {
-    const auto load = mLoads.find(node);
-    if (record.mDataCentre == mDataCentre && load != mLoads.end() &&
-        record.mTarget && !record.mLeaving && mIsUsable(node)) {
+  for (const auto& [node, record] : mNodes.InDataCentre(mDataCentre)) {
+    const auto load = mLoads.find(record->mNode);
+    if (load != mLoads.end() && record->mTarget &&
+        mIsUsable(*record, load->second.mReceivedAt, now)) {
       loads.emplace(node, load->second.mLoad);
     }
   }
@@ -82,10 +75,14 @@
 }
 
 bool
-TargetDirectory::LoadIsFresh(const std::string& aNode, Millis aAge) const
+TargetDirectory::IsUsable(const NodeRecord& aRecord, Millis aNow) const
 {
-  const auto load = mLoads.find(aNode);
-  return load != mLoads.end() && SteadyNow() - load->second.mReceivedAt < aAge;
+  const auto load = mLoads.find(aRecord.mNode);
+  return mIsUsable(aRecord,
+                   load == mLoads.end()
+                     ? std::nullopt
+                     : std::optional(load->second.mReceivedAt),
+                   aNow);
 }
 
 void
@@ -97,25 +94,33 @@
 std::vector<TargetCandidate>
 TargetDirectory::Candidates(const TargetQuery& aQuery) const
 {
+  const Millis now = SteadyNow();
+  const gateway::NodeGroup& ready = mNodes.ReadyFor(aQuery.mService);
   std::vector<TargetCandidate> candidates;
-  for (const auto& [node, record] : mNodes.All()) {
-    if (!IsReadyFor(record, aQuery.mService) ||
-        !AllowsVersion(aQuery, record.mTarget->mVersion) || !mIsUsable(node) ||
+  candidates.reserve(ready.size());
+  for (const auto& [node, record] : ready) {
+    if (!AllowsVersion(aQuery, record->mTarget->mVersion) ||
         std::find(aQuery.mExcluded.begin(), aQuery.mExcluded.end(), node) !=
           aQuery.mExcluded.end()) {
       continue;
     }
+    const auto load = mLoads.find(record->mNode);
+    const auto receivedAt = load == mLoads.end()
+                              ? std::nullopt
+                              : std::optional(load->second.mReceivedAt);
+    if (!mIsUsable(*record, receivedAt, now)) {
+      continue;
+    }
     TargetCandidate candidate{ .mNode = node };
-    if (record.mDataCentre != mDataCentre) {
-      candidate.mDistance = record.mRegion == mRegion ? Distance::SameRegion
-                                                      : Distance::OtherRegion;
+    if (record->mDataCentre != mDataCentre) {
+      candidate.mDistance = record->mRegion == mRegion ? Distance::SameRegion
+                                                       : Distance::OtherRegion;
     }
-    const auto load = mLoads.find(node);
     if (load != mLoads.end()) {
       candidate.mLoad = load->second.mLoad;
       candidate.mSentSinceReport = load->second.mSentSinceReport;
     }
-    candidate.mLoad.mSlots = record.mTarget->mSlots;
+    candidate.mLoad.mSlots = record->mTarget->mSlots;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -126,11 +131,12 @@
                                 std::string_view aVersion,
                                 bool aOtherVersions) const
 {
-  const auto& all = mNodes.All();
-  return std::any_of(all.begin(), all.end(), [&](const auto& aEntry) {
-    return IsReadyFor(aEntry.second, aService) &&
-           (aEntry.second.mTarget->mVersion != aVersion) == aOtherVersions &&
-           mIsUsable(aEntry.first);
+  const Millis now = SteadyNow();
+  const gateway::NodeGroup& ready = mNodes.ReadyFor(aService);
+  return std::any_of(ready.begin(), ready.end(), [&](const auto& aEntry) {
+    const NodeRecord& record = *aEntry.second;
+    return (record.mTarget->mVersion != aVersion) == aOtherVersions &&
+           IsUsable(record, now);
   });
 }
 
