Let the relay send the loads of a large data centre

Cause: each node sent each changed load to all nodes of its data centre, up to four times a second, also for each new version of the desired state. Change: from 16 nodes on, changed loads go to the relay, which sends them to all nodes in one message every 250 ms. Only link nodes announce a new version at once; heartbeats carry both once a second as before.

--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -78,8 +78,9 @@
   Millis mMissingSince;
   Millis mQueriedAt;
   Millis mStarted;
-  /** The loads of the own data centre that were sent to the other data centres
-   *  of the region, and to other regions. */
+  /** The loads of the own data centre that were sent within it, to the other
+   *  data centres of the region, and to other regions. */
+  SentLoads mLoadsSentInDataCentre;
   SentLoads mLoadsSentInRegion;
   SentLoads mLoadsSentToOtherRegions;
   /** The follow state that each node of the own region last reported. */
@@ -170,14 +171,21 @@
   [[nodiscard]] LoadMessage OwnLoad() const;
   /** Sends the local target's load to other nodes when it is due. */
   void SendOwnLoad(Millis aNow);
-  /** As the relay, sends the loads of the own data centre to the relays of
-   *  others when they are due. */
+  /** @return whether the relay sends the loads of the own data centre within it
+   *    on behalf of its nodes. */
+  [[nodiscard]] bool RelaysOwnLoads() const;
+  /** As the relay, sends the loads of the own data centre within it and to the
+   *  relays of others when they are due. */
   void SendDataCentreLoads(Millis aNow);
   /** Marks the loads that it returns as sent.
    *  @param aSent the loads last sent to the receiving group of nodes.
+   *  @param aMaxInterval after this time a load is sent again even if it has
+   *    not changed.
    *  @return the loads of the own data centre that must be sent again to that
    *    group. */
-  DataCentreLoadsMessage TakeChangedLoads(SentLoads& aSent, Millis aNow);
+  DataCentreLoadsMessage TakeChangedLoads(SentLoads& aSent,
+                                          Millis aMaxInterval,
+                                          Millis aNow);
   void OnDataCentreLoads(const std::string& aFrom,
                          const DataCentreLoadsMessage& aMessage);
   void OnEvidence(const std::string& aFrom, const EvidenceMessage& aMessage);
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -15,12 +15,20 @@
 /** For how long after reading the nodes' table a node assumes that the listed
  *  nodes are alive, since links to them are not open yet. */
 constexpr Millis kNodesTableGrace{ 1000 };
+/** From this number of nodes on, the nodes of a data centre send their changed
+ *  loads to the relay, which sends them to all nodes in one message. Otherwise
+ *  the number of messages would grow with the square of the number of nodes. */
+constexpr std::size_t kMinNodesForRelayedLoads = 16;
+/** How often the relay sends the changed loads within the data centre. */
+constexpr Millis kDataCentreLoadsPeriod{ 250 };
 /** How often changed loads are sent to other data centres of the region, and to
  *  other regions. */
 constexpr Millis kRegionLoadsPeriod{ 500 };
 constexpr Millis kOtherRegionsLoadsPeriod{ 1000 };
 /** Unchanged loads are sent to other data centres again after this time. */
 constexpr Millis kMaxLoadInterval{ 1500 };
+/** Within the data centre, heartbeats repeat unchanged loads. */
+constexpr Millis kNoRepeat = Seconds(3600);
 /** A target in another data centre is sent calls only if its load was received
  *  within this time. */
 constexpr Millis kMaxLoadAge{ 3500 };
@@ -112,9 +120,19 @@
   }
 }
 
+bool
+Sidecar::Impl::RelaysOwnLoads() const
+{
+  return mTargets.Nodes().InDataCentre(mSettings.mDataCentre).size() >=
+         kMinNodesForRelayedLoads;
+}
+
 void
 Sidecar::Impl::SendDataCentreLoads(Millis aNow)
 {
+  const bool ownDue =
+    RelaysOwnLoads() &&
+    aNow - mLoadsSentInDataCentre.mSentAt >= kDataCentreLoadsPeriod;
   const bool regionDue =
     aNow - mLoadsSentInRegion.mSentAt >= kRegionLoadsPeriod;
   const bool otherRegionsDue =
@@ -122,14 +140,23 @@
   if ((!ownDue && !regionDue && !otherRegionsDue) || !IsRelay()) {
     return;
   }
+  if (ownDue) {
+    if (const auto loads =
+          TakeChangedLoads(mLoadsSentInDataCentre, kNoRepeat, aNow);
+        !loads.mLoads.empty()) {
+      SendInDataCentre(loads);
+    }
+  }
   if (regionDue) {
-    if (const auto loads = TakeChangedLoads(mLoadsSentInRegion, aNow);
+    if (const auto loads =
+          TakeChangedLoads(mLoadsSentInRegion, kMaxLoadInterval, aNow);
         !loads.mLoads.empty()) {
       SendToRelays(loads, false);
     }
   }
   if (otherRegionsDue) {
-    if (const auto loads = TakeChangedLoads(mLoadsSentToOtherRegions, aNow);
+    if (const auto loads =
+          TakeChangedLoads(mLoadsSentToOtherRegions, kMaxLoadInterval, aNow);
         !loads.mLoads.empty()) {
       SendToRelays(loads, true);
     }
@@ -137,7 +164,9 @@
 }
 
 DataCentreLoadsMessage
-Sidecar::Impl::TakeChangedLoads(SentLoads& aSent, Millis aNow)
+Sidecar::Impl::TakeChangedLoads(SentLoads& aSent,
+                                Millis aMaxInterval,
+                                Millis aNow)
 {
   aSent.mSentAt = aNow;
   DataCentreLoadsMessage message;
@@ -146,7 +175,7 @@
       aSent.mReportFilters
         .try_emplace(
           node,
-          gateway::LoadReportFilterOptions{ .mMaxInterval = kMaxLoadInterval })
+          gateway::LoadReportFilterOptions{ .mMaxInterval = aMaxInterval })
         .first->second;
     if (filter.ShouldReport(load, aNow)) {
       filter.OnReported(load, aNow);
@@ -160,12 +189,14 @@
 Sidecar::Impl::OnDataCentreLoads(const std::string& aFrom,
                                  const DataCentreLoadsMessage& aMessage)
 {
+  const bool fromOwn = InOwnDataCentre(aFrom);
   for (const auto& [node, load] : aMessage.mLoads) {
-    if (!InOwnDataCentre(node)) {
+    // Another data centre knows the loads of this one only from its relay.
+    if (node != mSettings.mName && (fromOwn || !InOwnDataCentre(node))) {
       mTargets.OnLoad(node, load);
     }
   }
-  if (!InOwnDataCentre(aFrom)) {
+  if (!fromOwn) {
     SendInDataCentre(aMessage);
   }
 }
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -42,8 +42,10 @@
   const LoadMessage message = OwnLoad();
   mTargets.OnLoad(mSettings.mName, message.mLoad);
   const bool toAll = aNow - mLastLoadBroadcast >= kLoadBroadcastPeriod;
-  const bool changed = !mLastSentLoad ||
-                       mLastSentLoad->mStateVersion != message.mStateVersion ||
+  const bool newVersion =
+    mTopology.IsLinkNode() &&
+    (!mLastSentLoad || mLastSentLoad->mStateVersion != message.mStateVersion);
+  const bool changed = newVersion || !mLastSentLoad ||
                        mLastSentLoad->mFollowState != message.mFollowState;
   if (!toAll && !changed && !mLoadFilter.ShouldReport(message.mLoad, aNow)) {
     return;
@@ -53,6 +55,12 @@
   if (toAll) {
     mLastLoadBroadcast = aNow;
     mMesh.Broadcast(message);
+  } else if (!changed && RelaysOwnLoads()) {
+    // The relay sends the loads of all nodes together.
+    const std::string relay = RelayOf(mSettings.mDataCentre);
+    if (relay != mSettings.mName) {
+      mMesh.Send(relay, message);
+    }
   } else {
     SendInDataCentre(message);
   }
