--- a/libs/gateway/tests/LinkTopologyTest.cpp
+++ b/libs/gateway/tests/LinkTopologyTest.cpp
@@ -51,6 +51,7 @@
       }
       const auto names = TopologyOf(record).FollowerCandidates(aIsAlive);
       std::vector<FollowerCandidate> candidates;
+      candidates.reserve(names.size());
       for (const std::string& name : names) {
         candidates.push_back({ .mNode = name });
       }
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -341,6 +341,7 @@
   const std::vector<std::string> followers =
     mTopology.FollowerCandidates(isAlive);
   std::vector<gateway::FollowerCandidate> candidates;
+  candidates.reserve(followers.size());
   for (const std::string& node : followers) {
     const auto state = mFollowStates.find(node);
     candidates.push_back(
