Move the desired state of the sidecar to a file of its own

Change: OnOperatorRow(), ApplyPendingState() and ApplyState() are in SidecarState.cpp; no statement changed.

--- /dev/null
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -0,0 +1,111 @@
+// Sidecar: operator rows, and the desired state in force.
+
+#include <utility>
+
+#include <malloc.h>
+
+#include "SidecarImpl.h"
+
+namespace papayaway::sidecar {
+
+namespace {
+
+/** The shortest time between two desired states that are put in force. In a
+ *  series of changes each replaces the one before. */
+constexpr Millis kMinStateInterval{ 400 };
+
+} // namespace
+
+void
+Sidecar::Impl::OnOperatorRow(const Row& aOld, const Row& aRow)
+{
+  const OperatorNames& names = mProtocol.Operator();
+  if (!mRowFromPeer) {
+    BroadcastOperatorRow(aOld, aRow);
+  }
+  if (aRow.mKey == names.mDesiredStateKey) {
+    mPendingStateSource = mRowFromPeer ? "peer" : "store";
+    ApplyPendingState(SteadyNow());
+    return;
+  }
+  if (!aRow.mKey.starts_with(names.mRolloutPrefix) || aRow.mDeleted) {
+    return;
+  }
+  Expected<gateway::RolloutOrder> order =
+    mProtocol.DecodeRolloutOrder(aRow.mValue);
+  if (!order) {
+    mMetrics.mBadInput.Increment();
+    mLog.WriteStateChange(
+      "store",
+      "bad_row",
+      { { "key", aRow.mKey }, { "reason", order.error().mMessage } });
+    return;
+  }
+  order->mOrderVersion = aRow.mVersion;
+  mRollouts.OnOrder(*order);
+}
+
+void
+Sidecar::Impl::ApplyPendingState(Millis aNow)
+{
+  const bool recent =
+    mRoutingTable && aNow - mStateAppliedAt < kMinStateInterval;
+  const auto row =
+    mSync.OperatorRows().find(mProtocol.Operator().mDesiredStateKey);
+  if (mPendingStateSource == nullptr || recent ||
+      row == mSync.OperatorRows().end()) {
+    return;
+  }
+  ApplyState(row->second.mValue, std::exchange(mPendingStateSource, nullptr));
+}
+
+bool
+Sidecar::Impl::ApplyState(const std::string& aText, const char* aSource)
+{
+  const Expected<gateway::DesiredState> state =
+    mProtocol.DecodeDesiredState(aText);
+  if (!state) {
+    mMetrics.mBadInput.Increment();
+    mLog.WriteStateChange(
+      "state",
+      "bad_desired_state",
+      { { "source", aSource }, { "reason", state.error().mMessage } });
+    return false;
+  }
+  const std::uint64_t current =
+    mRoutingTable ? mRoutingTable->State().mVersion : 0;
+  if (mRoutingTable && state->mVersion <= current) {
+    return false;
+  }
+  const bool first = mRoutingTable == nullptr;
+  mRoutingTable = std::make_shared<gateway::RoutingTable>(*state);
+  mStateAppliedAt = SteadyNow();
+  mDispatcher.SetRoutingTable(mRoutingTable);
+  const gateway::RequestLimits& limits = state->mLimits;
+  mCallerServer->SetLimits(
+    { .mSizes = { .mMaxHeaderBytes = limits.mMaxHeaderBytes,
+                  .mMaxBodyBytes = limits.mMaxBodyBytes },
+      .mHeaderTimeout = limits.mHeaderTimeout,
+      .mIdleTimeout = limits.mIdleTimeout });
+  if (first) {
+    // Decoding all rules takes several times their size in memory; return it to
+    // the operating system.
+    malloc_trim(0);
+  }
+  mMetrics.mStateVersion.Set(static_cast<double>(state->mVersion));
+  mLog.WriteStateChange("state",
+                        "desired_state_in_force",
+                        { { "version", state->mVersion },
+                          { "before", current },
+                          { "source", aSource },
+                          { "hosts", state->mHosts.size() },
+                          { "services", state->mServices.size() } });
+  if (first) {
+    // Nodes that started at the same time see the version in the load message
+    // and query this node for the state.
+    SendInDataCentre(OwnLoad());
+  }
+  return true;
+}
+
+} // namespace papayaway::sidecar
