--- a/review/standins.py
+++ b/review/standins.py
@@ -350,6 +350,56 @@
         self.socket.close()
 
 
+class Link:
+    """A proxy between one sidecar and the store. While it is cut, it forwards
+    nothing in either direction and accepts no new connection."""
+
+    def __init__(self, address):
+        self.target = address
+        self.open = threading.Event()
+        self.open.set()
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(64)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self):
+        self.open.clear()
+
+    def heal(self):
+        self.open.set()
+
+    def _accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            self.open.wait()
+            host, port = self.target.split(":")
+            try:
+                server = socket.create_connection((host, int(port)))
+            except OSError:
+                client.close()
+                continue
+            for source, sink in ((client, server), (server, client)):
+                threading.Thread(target=self._forward, args=(source, sink), daemon=True).start()
+
+    def _forward(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                self.open.wait()
+                if not data:
+                    break
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 def _fill(template, values):
     """Fills the placeholders of a settings template that has no sections."""
     def one(match):
@@ -365,7 +415,7 @@
     """A real sidecar, started with the command of the deploy file."""
 
     def __init__(self, deployment, name, endpoint_address, service, zone="zone-a",
-                 region="region-a", grace_s=6):
+                 region="region-a", grace_s=6, store_address=None):
         self.deployment = deployment
         self.name = name
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -379,7 +429,7 @@
             "node_id": name, "zone": zone, "region": region, "bootstrap": True,
             "ip": "127.0.0.1", "internal_ports": [free_port(), free_port()],
             "bind": ports, "local_app": endpoint_address, "service": service,
-            "heartbeat_ms": 1500, "provider": {"address": deployment.store.address},
+            "heartbeat_ms": 1500, "provider": {"address": store_address or deployment.store.address},
             "bounds": {"grace_s": grace_s, "retry_budget_ratio": 0.2}}
         self.peer = "127.0.0.1:%d" % self.values["internal_ports"][0]
         with open(os.path.join(ROOT, role["template"])) as file:
