--- a/review/standins.py
+++ b/review/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shlex
 import signal
@@ -24,13 +25,19 @@
 
 
 def free_port(ip="127.0.0.1"):
+    """Returns a port that is free now and outside of the range from which the
+    system takes ports for connections."""
     while True:
+        port = random.randrange(10000, 32000)
+        if port in _used_ports:
+            continue
         with socket.socket() as probe:
-            probe.bind((ip, 0))
-            port = probe.getsockname()[1]
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return port
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
 
 
 class Record:
@@ -350,56 +357,6 @@
         self.socket.close()
 
 
-class Link:
-    """A proxy between one sidecar and the store. While it is cut, it forwards
-    nothing in either direction and accepts no new connection."""
-
-    def __init__(self, address):
-        self.target = address
-        self.open = threading.Event()
-        self.open.set()
-        self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen(64)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def cut(self):
-        self.open.clear()
-
-    def heal(self):
-        self.open.set()
-
-    def _accept(self):
-        while True:
-            client, _ = self.listener.accept()
-            self.open.wait()
-            host, port = self.target.split(":")
-            try:
-                server = socket.create_connection((host, int(port)))
-            except OSError:
-                client.close()
-                continue
-            for source, sink in ((client, server), (server, client)):
-                threading.Thread(target=self._forward, args=(source, sink), daemon=True).start()
-
-    def _forward(self, source, sink):
-        try:
-            while True:
-                data = source.recv(65536)
-                self.open.wait()
-                if not data:
-                    break
-                sink.sendall(data)
-        except OSError:
-            pass
-        for end in (source, sink):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-
 def _fill(template, values):
     """Fills the placeholders of a settings template that has no sections."""
     def one(match):
@@ -415,23 +372,16 @@
     """A real sidecar, started with the command of the deploy file."""
 
     def __init__(self, deployment, name, endpoint_address, service, zone="zone-a",
-                 region="region-a", grace_s=6, store_address=None):
+                 region="region-a", grace_s=6):
         self.deployment = deployment
         self.name = name
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             role = tomllib.load(file)["roles"]["sidecar"]
-        ports = {key: "127.0.0.1:%d" % free_port()
-                 for key in ("outbound", "admin", "readiness", "inbound")}
-        self.caller = ports["outbound"]
-        self.admin = ports["admin"]
-        self.readiness = ports["readiness"]
         self.values = {
             "node_id": name, "zone": zone, "region": region, "bootstrap": True,
-            "ip": "127.0.0.1", "internal_ports": [free_port(), free_port()],
-            "bind": ports, "local_app": endpoint_address, "service": service,
-            "heartbeat_ms": 1500, "provider": {"address": store_address or deployment.store.address},
+            "ip": "127.0.0.1", "local_app": endpoint_address, "service": service,
+            "heartbeat_ms": 1500, "provider": {"address": deployment.store.address},
             "bounds": {"grace_s": grace_s, "retry_budget_ratio": 0.2}}
-        self.peer = "127.0.0.1:%d" % self.values["internal_ports"][0]
         with open(os.path.join(ROOT, role["template"])) as file:
             self.template = file.read()
         self.settings = os.path.join(deployment.folder, name + ".ini")
@@ -440,8 +390,26 @@
             self.settings if word == "/etc/papayaway/node.toml" else word for word in words[1:]]
         self.process = None
 
-    def start(self, first=True):
-        self.values["bootstrap"] = first
+    def start(self):
+        """Starts the process, with other ports if another one took a port."""
+        for _ in range(5):
+            self._choose_ports()
+            self._start()
+            time.sleep(0.2)
+            if self.process.poll() is None:
+                return
+        raise SystemError("%s does not start" % self.name)
+
+    def _choose_ports(self):
+        ports = {key: "127.0.0.1:%d" % free_port()
+                 for key in ("outbound", "admin", "readiness", "inbound")}
+        self.caller = ports["outbound"]
+        self.admin = ports["admin"]
+        self.readiness = ports["readiness"]
+        self.values["bind"] = ports
+        self.values["internal_ports"] = [free_port(), free_port()]
+
+    def _start(self):
         with open(self.settings, "w") as file:
             file.write(_fill(self.template, self.values))
         log = open(os.path.join(self.deployment.folder, self.name + ".log"), "ab")
@@ -487,6 +455,9 @@
     def wait_ready(self, seconds=15):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
+            for sidecar in self.sidecars:
+                if sidecar.process.poll() is not None:
+                    raise SystemError("%s has ended" % sidecar.name)
             if all(sidecar.ready() for sidecar in self.sidecars):
                 self.record("all sidecars are ready")
                 return
