Review: start no endpoint once the BUDGET script ends

Cause: a lifetime could begin between the check and the end of the script. Change: both hold a lock.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -49,6 +49,7 @@
         self.record, self.name, self.port, self.admin, self.runs = record, name, port, admin, runs
         self.process = None
         self.ending = False
+        self.lock = threading.Lock()
         threading.Thread(target=self.run, daemon=True).start()
 
     def run(self):
@@ -56,9 +57,12 @@
         while not self.ending:
             lifetime += 1
             ident = "i-%s-%d" % (self.name, lifetime)
-            self.process = subprocess.Popen(
-                [sys.executable, os.path.abspath(__file__), str(self.port), ident, self.admin],
-                stdout=subprocess.PIPE, stdin=subprocess.DEVNULL, text=True)
+            with self.lock:
+                if self.ending:
+                    return
+                self.process = subprocess.Popen(
+                    [sys.executable, os.path.abspath(__file__), str(self.port), ident, self.admin],
+                    stdout=subprocess.PIPE, stdin=subprocess.DEVNULL, text=True)
             self.record("endpoint %s starts" % ident)
             for line in self.process.stdout:
                 run = json.loads(line)
@@ -71,7 +75,8 @@
                 time.sleep(BACK_AFTER_S)
 
     def end(self):
-        self.ending = True
+        with self.lock:
+            self.ending = True
         if self.process and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
