Log each end of a target and what becomes of it as crash evidence

Change: the events target_replaced, crash_not_counted, crash_recorded and suspect_cleared and a counter of target ends without suspects. No decision changes.

--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -142,6 +142,8 @@
    *    announced that it leaves. */
   [[nodiscard]] bool HasLeft(const CheckIn& aCheckIn) const;
   void SetState(gateway::TargetState aState, const char* aReason);
+  /** Logs that another target process has the place of the known one. */
+  void LogReplaced(const char* aEvidence);
   /** @return why the call can't be accepted, or nullptr if it can. */
   [[nodiscard]] const char* RefusalReason(const CallMessage& aCall) const;
   void Apply(const gateway::SlotActions& aActions);
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -60,6 +60,7 @@
   prometheus::Counter& mRetriesDenied;
   prometheus::Counter& mBadInput;
   prometheus::Counter& mTargetCrashes;
+  prometheus::Counter& mTargetEndsWithoutSuspects;
   prometheus::Counter& mLogLinesDropped;
   prometheus::Counter& mTargetConnections;
   prometheus::Counter& mReadingPauses;
--- a/libs/sidecar/src/CrashGuard.cpp
+++ b/libs/sidecar/src/CrashGuard.cpp
@@ -57,8 +57,17 @@
       suspects.insert(lost.mFingerprint);
     }
   }
+  const std::size_t lostCalls = mLostCalls.size();
+  const Millis newestLoss =
+    mLostCalls.empty() ? Millis{} : aNow - mLostCalls.back().mLostAt;
   mLostCalls.clear();
   if (suspects.empty()) {
+    mMetrics.mTargetEndsWithoutSuspects.Increment();
+    mLog.WriteStateChange("quarantine",
+                          "crash_not_counted",
+                          { { "service", aService },
+                            { "lost_calls", lostCalls },
+                            { "newest_loss_ms", newestLoss.WholeMillis() } });
     return;
   }
   // The wall-clock time keeps ids unique across restarts of this process.
@@ -108,6 +117,12 @@
   mTrackingActive = true;
   mTrackingUntil = WallNow() + Quarantine::kDuration;
   mMetrics.mTargetCrashes.Increment();
+  mLog.WriteStateChange(
+    "quarantine",
+    "crash_recorded",
+    { { "report", aMessage.mReport.mId },
+      { "service", aMessage.mReport.mService },
+      { "requests_in_flight", aMessage.mReport.mFingerprints.size() } });
   LogQuarantined(mQuarantine.OnCrash(aMessage.mReport, WallNow()));
   return true;
 }
@@ -125,6 +140,11 @@
   if (!mQuarantine.IsSuspect(aMessage.mFingerprint)) {
     return false;
   }
+  if (mLog.ShouldWrite("suspect_cleared", EventLog::Category::Success)) {
+    mLog.Write("quarantine",
+               "suspect_cleared",
+               { { "fingerprint", aMessage.mFingerprint } });
+  }
   LogQuarantined(mQuarantine.OnRan(aMessage.mFingerprint, WallNow()));
   return true;
 }
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -34,6 +34,20 @@
  *  when it is reached. A host has few targets in succession. */
 constexpr std::size_t kMaxLeftTargets = 100;
 
+const char*
+StateName(TargetState aState)
+{
+  switch (aState) {
+    case TargetState::Ready:
+      return "ready";
+    case TargetState::Draining:
+      return "draining";
+    case TargetState::Gone:
+      break;
+  }
+  return "gone";
+}
+
 } // namespace
 
 LocalTargetProxy::LocalTargetProxy(EventLoop& aLoop,
@@ -108,6 +122,9 @@
   if (same && target == *mTarget) {
     return;
   }
+  if (known && !same) {
+    LogReplaced("check-in");
+  }
   // A target that crashed may have restarted before any connection was refused.
   if (known && !same && mTarget->mState == TargetState::Ready) {
     mHandlers.mTargetGone();
@@ -156,10 +173,7 @@
                           { "version", mTarget->mVersion },
                           { "slots", mTarget->mSlots },
                           { "sequence", mSequence },
-                          { "state",
-                            aState == TargetState::Ready      ? "ready"
-                            : aState == TargetState::Draining ? "draining"
-                                                              : "gone" },
+                          { "state", StateName(aState) },
                           { "reason", aReason } });
   if (aState != TargetState::Ready) {
     RefuseWaiting("target_leaving");
@@ -167,6 +181,18 @@
   mHandlers.mStateChanged();
 }
 
+void
+LocalTargetProxy::LogReplaced(const char* aEvidence)
+{
+  if (mLog.ShouldWrite("target_replaced", Category::Failure)) {
+    mLog.Write("target",
+               "target_replaced",
+               { { "target", mTarget->mId },
+                 { "state", StateName(mTarget->mState) },
+                 { "evidence", aEvidence } });
+  }
+}
+
 void
 LocalTargetProxy::RefuseWaiting(const char* aReason)
 {
@@ -321,6 +347,7 @@
   } else if (response.mStatus == 421) {
     reply.mOutcome = CallOutcome::NotRun;
     reply.mReason = "another_target";
+    LogReplaced("rejected a request for its predecessor");
     if (mTarget->mState == TargetState::Ready) {
       SetState(TargetState::Gone, "another target has the address");
     }
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -90,6 +90,10 @@
   , mTargetCrashes(Counter(mRegistry,
                            "papayaway_target_crashes_total",
                            "Crashes of targets of all nodes, as reported"))
+  , mTargetEndsWithoutSuspects(
+      Counter(mRegistry,
+              "papayaway_target_ends_without_suspects_total",
+              "Unannounced ends of the local target without lost requests"))
   , mLogLinesDropped(Counter(mRegistry,
                              "papayaway_log_lines_dropped_total",
                              "Lines dropped because the log's reader was slow"))
