Count the crash of a target however late its end shows

What callers saw: a request that crashes each target that runs it was never refused.

Cause: CrashGuard counted a crash only if the target refused a connection, or its next process checked in, within 1 s of the loss of a call. The lost call itself lowers the success rate of the target, so in a service with little traffic no request is sent to it and none is refused; the next process checks in when it is back, after 0.5 to 10 s.

Change: a lost call is a suspect until the target has answered a call that was sent later, not for 1 s. An answer that came after the next process started does not clear it, since that process may have the same id. The check-in of another process counts in whichever state the target was. After a lost connection the node probes the target, so that the end shows within about 20 ms and callers are sent elsewhere while it is down. Losses that are read up to 50 ms after the end belong to the same crash.

--- a/libs/sidecar/include/sidecar/CrashGuard.h
+++ b/libs/sidecar/include/sidecar/CrashGuard.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,11 +19,13 @@
 /**
  * Detects requests that crash targets, using the crash reports of all nodes.
  *
- * A crash is assumed when a target refuses a connection, or has been replaced
- * by another target, shortly after connections with unanswered requests were
- * lost. A lost connection alone is not a crash. The requests on the lost
- * connections are the suspects; the Quarantine class of the traffic library
- * decides which of them caused the crashes.
+ * The crash of a target shows in two steps, which may be many seconds apart:
+ * its connections break, and later it refuses a connection or another target
+ * process takes its place. A call that has ended without an answer is therefore
+ * a suspect until the target has answered a call that was sent later, which
+ * shows that the target has survived it. A lost call alone is not a crash. The
+ * Quarantine class of the traffic library decides which of the suspects caused
+ * the crashes.
  */
 class CrashGuard
 {
@@ -34,17 +37,23 @@
              EventLog& aLog,
              SidecarMetrics& aMetrics);
 
-  /** Records that the connection to the local target was lost before the
-   *  request was answered. */
-  void OnConnectionLost(const CallMessage& aCall, Millis aNow);
+  /** Records that a call that was sent to the local target has ended without
+   *  an answer: its connection was lost, or it was cancelled. */
+  void OnCallLost(const CallMessage& aCall, Millis aNow);
 
-  /** Handles the loss of the local target while it was ready. Reports a crash
-   *  if connections were lost shortly before. */
-  void OnTargetGone(const std::string& aService, Millis aNow);
+  /** Handles the unexpected end of the local target's process. Unless no call
+   *  was in flight, the next OnTick() that comes kSettleTime later reports a
+   *  crash, with the calls whose loss is noticed until then.
+   *  @param aReplacedAt when the process that has taken its place started, if
+   *    known. */
+  void OnTargetEnded(const std::string& aService,
+                     std::optional<Millis> aReplacedAt,
+                     Millis aNow);
 
-  /** Records that the local target answered the request, which clears the
-   *  request of suspicion. */
-  void OnAnswered(const CallMessage& aCall);
+  /** Records that the local target answered a call. This clears the call of
+   *  suspicion, and those that were lost before it was sent.
+   *  @param aSentAt when the call was sent to the target. */
+  void OnAnswered(const CallMessage& aCall, Millis aSentAt, Millis aNow);
 
   /** Records a crash report of another node.
    *  @return whether the report is new and must be forwarded. */
@@ -65,18 +74,36 @@
    *    target. */
   [[nodiscard]] bool IsQuarantined(const CallMessage& aCall) const;
 
-  /** Removes expired quarantines and crash evidence. To be called about once
-   *  a second.
+  /** Reports a crash that is due, and removes expired quarantines and crash
+   *  evidence. To be called several times a second.
    *  @param aWallNow the wall-clock time. */
-  void OnTick(Millis aWallNow);
+  void OnTick(Millis aNow, Millis aWallNow);
+
+  /** After the end of a target was noticed, the loss of its other calls is
+   *  noticed within this time. */
+  static constexpr Millis kSettleTime{ 50 };
 
 private:
   struct LostCall
   {
     std::string mFingerprint;
     Millis mLostAt;
+    /** When the target was first known to have survived the loss. */
+    std::optional<Millis> mSurvivedAt;
+  };
+
+  /** The end of a target's process that has not been reported yet. */
+  struct TargetEnd
+  {
+    std::string mService;
+    Millis mNoticedAt;
+    std::optional<Millis> mReplacedAt;
   };
 
+  /** Removes the calls that were lost until the target's end is settled.
+   *  @return the fingerprints of those that may have caused it. */
+  [[nodiscard]] std::set<std::string> TakeSuspects(const TargetEnd& aEnd);
+  void ReportCrash(const TargetEnd& aEnd);
   bool RecordCrash(const CrashMessage& aMessage);
   void LogQuarantined(const std::vector<QuarantineFact>& aFacts);
 
@@ -90,6 +117,7 @@
   bool mTrackingActive = false;
   Millis mTrackingUntil;
   std::deque<LostCall> mLostCalls;
+  std::optional<TargetEnd> mTargetEnd;
   /** The ids of the reports received, for removing duplicates, and the same
    *  ids in order of arrival. */
   std::set<std::string> mSeenReports;
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -12,6 +12,7 @@
 #include <base/Millis.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
+#include <http/ConnectProbe.h>
 #include <http/TargetClient.h>
 #include <net/EventLoop.h>
 #include <sidecar/EventLog.h>
@@ -41,13 +42,13 @@
   std::function<void()> mStateChanged;
   /** The target has answered a request; receives the result of the run. */
   std::function<void(const RunReport&)> mRunFinished;
-  /** The connection to the target was lost before the request was answered. */
-  std::function<void(const CallMessage&)> mConnectionLost;
-  /** The target has answered the request and thus was not crashed by it. */
-  std::function<void(const CallMessage&)> mAnswered;
-  /** The target, which was ready, refused a connection, or a new target
-   *  replaced it although it had not announced that it leaves. */
-  std::function<void()> mTargetGone;
+  /** A call that was sent to the target has ended without an answer. */
+  std::function<void(const CallMessage&)> mCallLost;
+  /** The target has answered a call; receives when the call was sent. */
+  std::function<void(const CallMessage&, Millis)> mAnswered;
+  /** The target's process has ended; receives when the one that has taken its
+   *  place started, if known. */
+  std::function<void(std::optional<Millis>)> mTargetEnded;
   /** @return whether the request is known to crash targets. */
   std::function<bool(const CallMessage&)> mIsQuarantined;
   /** @return whether the version of the target may receive requests. It may
@@ -142,6 +143,13 @@
    *    announced that it leaves. */
   [[nodiscard]] bool HasLeft(const CheckIn& aCheckIn) const;
   void SetState(gateway::TargetState aState, const char* aReason);
+  /** Handles evidence that no process of the target listens. */
+  void OnRefusedConnection(const char* aReason);
+  /** Handles a connection that broke with a request in flight: the target may
+   *  have crashed. */
+  void ScheduleProbe();
+  void StartProbe();
+  void OnProbeEnded(ProbeResult aResult);
   /** Logs that another target process has the place of the known one. */
   void LogReplaced(const char* aEvidence);
   /** @return why the call can't be accepted, or nullptr if it can. */
@@ -163,6 +171,7 @@
   void OnDeadlineTimer();
   void ArmDeadlineTimer();
 
+  EventLoop& mLoop;
   LocalTargetProxyOptions mOptions;
   const PlatformProtocol& mProtocol;
   LocalTargetProxyHandlers mHandlers;
@@ -190,6 +199,12 @@
   Timer mDeadlineTimer;
   Timer mQueueTimer;
   bool mQueueTimerActive = false;
+  /** Checks after a lost connection whether the target still listens. The next
+   *  request would show it too, but may come only after the target is back. */
+  std::unique_ptr<ConnectProbe> mProbe;
+  Timer mProbeTimer;
+  bool mProbeScheduled = false;
+  Millis mLastProbe;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/CrashGuard.cpp
+++ b/libs/sidecar/src/CrashGuard.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/** Requests lost at most this long before the crash was detected count as in
- *  flight at the crash. The next request, whose connection the crashed target
- *  refuses, usually follows within about 0.1 s. */
-constexpr Millis kCrashWindow{ 1000 };
+/** How long a lost call is kept as a possible suspect. Covers the time in which
+ *  a crashed target starts again and checks in. */
+constexpr Millis kLostCallRetention = Seconds(30);
 /** Report ids kept for removing duplicates; far more than the reports that are
  *  in transit at any time. */
 constexpr std::size_t kMaxSeenReports = 1024;
@@ -39,7 +38,7 @@
 }
 
 void
-CrashGuard::OnConnectionLost(const CallMessage& aCall, Millis aNow)
+CrashGuard::OnCallLost(const CallMessage& aCall, Millis aNow)
 {
   if (mLostCalls.size() >= kMaxCrashSuspects) {
     mLostCalls.pop_front();
@@ -49,23 +48,49 @@
 }
 
 void
-CrashGuard::OnTargetGone(const std::string& aService, Millis aNow)
+CrashGuard::OnTargetEnded(const std::string& aService,
+                          std::optional<Millis> aReplacedAt,
+                          Millis aNow)
+{
+  if (!mTargetEnd) {
+    mTargetEnd = TargetEnd{ .mService = aService,
+                            .mNoticedAt = aNow,
+                            .mReplacedAt = aReplacedAt };
+  }
+}
+
+std::set<std::string>
+CrashGuard::TakeSuspects(const TargetEnd& aEnd)
 {
   std::set<std::string> suspects;
-  for (const LostCall& lost : mLostCalls) {
-    if (aNow - lost.mLostAt <= kCrashWindow) {
+  while (!mLostCalls.empty() &&
+         mLostCalls.front().mLostAt <= aEnd.mNoticedAt + kSettleTime) {
+    const LostCall& lost = mLostCalls.front();
+    // The answer that came after the loss may be one of the new process, if
+    // that uses the id of the old one.
+    const bool survived =
+      lost.mSurvivedAt &&
+      (!aEnd.mReplacedAt || *lost.mSurvivedAt < *aEnd.mReplacedAt);
+    if (!survived) {
       suspects.insert(lost.mFingerprint);
     }
+    mLostCalls.pop_front();
   }
+  return suspects;
+}
+
+void
+CrashGuard::ReportCrash(const TargetEnd& aEnd)
+{
   const std::size_t lostCalls = mLostCalls.size();
   const Millis newestLoss =
-    mLostCalls.empty() ? Millis{} : aNow - mLostCalls.back().mLostAt;
-  mLostCalls.clear();
+    mLostCalls.empty() ? Millis{} : aEnd.mNoticedAt - mLostCalls.back().mLostAt;
+  const std::set<std::string> suspects = TakeSuspects(aEnd);
   if (suspects.empty()) {
     mMetrics.mTargetEndsWithoutSuspects.Increment();
     mLog.WriteStateChange("quarantine",
                           "crash_not_counted",
-                          { { "service", aService },
+                          { { "service", aEnd.mService },
                             { "lost_calls", lostCalls },
                             { "newest_loss_ms", newestLoss.WholeMillis() } });
     return;
@@ -74,20 +99,26 @@
   const CrashMessage message{
     .mReport = { .mId = mNode + "/" + std::to_string(WallNow().WholeMillis()) +
                         "/" + std::to_string(++mCrashCount),
-                 .mService = aService,
+                 .mService = aEnd.mService,
                  .mFingerprints = { suspects.begin(), suspects.end() } }
   };
-  mLog.WriteStateChange(
-    "quarantine",
-    "target_crashed",
-    { { "service", aService }, { "requests_in_flight", suspects.size() } });
+  mLog.WriteStateChange("quarantine",
+                        "target_crashed",
+                        { { "service", aEnd.mService },
+                          { "requests_in_flight", suspects.size() },
+                          { "newest_loss_ms", newestLoss.WholeMillis() } });
   RecordCrash(message);
   mBroadcast(message);
 }
 
 void
-CrashGuard::OnAnswered(const CallMessage& aCall)
+CrashGuard::OnAnswered(const CallMessage& aCall, Millis aSentAt, Millis aNow)
 {
+  for (LostCall& lost : mLostCalls) {
+    if (!lost.mSurvivedAt && lost.mLostAt < aSentAt) {
+      lost.mSurvivedAt = aNow;
+    }
+  }
   if (!mTrackingActive) {
     return;
   }
@@ -128,8 +159,16 @@
 }
 
 void
-CrashGuard::OnTick(Millis aWallNow)
+CrashGuard::OnTick(Millis aNow, Millis aWallNow)
 {
+  if (mTargetEnd && aNow >= mTargetEnd->mNoticedAt + kSettleTime) {
+    ReportCrash(*mTargetEnd);
+    mTargetEnd.reset();
+  }
+  while (!mLostCalls.empty() &&
+         aNow - mLostCalls.front().mLostAt > kLostCallRetention) {
+    mLostCalls.pop_front();
+  }
   mQuarantine.OnTick(aWallNow);
   mTrackingActive = mTrackingActive && aWallNow < mTrackingUntil;
 }
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -33,6 +33,23 @@
 /** The maximum number of targets remembered as having left; all are forgotten
  *  when it is reached. A host has few targets in succession. */
 constexpr std::size_t kMaxLeftTargets = 100;
+/** How long after a lost connection the target is probed: a process that ends
+ *  closes its connections and its listener together, but not at one instant. */
+constexpr Millis kProbeDelay{ 20 };
+constexpr Millis kProbeTimeout = Seconds(1);
+/** The shortest time between two probes. */
+constexpr Millis kProbeInterval = Seconds(1);
+
+/** @return when the process that checks in started, on the steady clock, or
+ *    nothing if it does not say so. */
+std::optional<Millis>
+StartTime(const CheckIn& aCheckIn)
+{
+  if (aCheckIn.mStarted.mCount <= 0) {
+    return std::nullopt;
+  }
+  return SteadyNow() - std::max(Millis{}, WallNow() - aCheckIn.mStarted);
+}
 
 const char*
 StateName(TargetState aState)
@@ -56,7 +73,8 @@
                                    LocalTargetProxyHandlers aHandlers,
                                    EventLog& aLog,
                                    SidecarMetrics& aMetrics)
-  : mOptions(std::move(aOptions))
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
   , mProtocol(aProtocol)
   , mHandlers(std::move(aHandlers))
   , mLog(aLog)
@@ -69,13 +87,15 @@
                    aId;
           } })
   , mDeadlineTimer(aLoop, [this] { OnDeadlineTimer(); })
-  , mQueueTimer(aLoop, [this] {
-    Apply(mQueue.OnTick(SteadyNow()));
-    if (mQueue.Waiting() == 0) {
-      mQueueTimerActive = false;
-      mQueueTimer.Stop();
-    }
-  })
+  , mQueueTimer(aLoop,
+                [this] {
+                  Apply(mQueue.OnTick(SteadyNow()));
+                  if (mQueue.Waiting() == 0) {
+                    mQueueTimerActive = false;
+                    mQueueTimer.Stop();
+                  }
+                })
+  , mProbeTimer(aLoop, [this] { StartProbe(); })
 {
 }
 
@@ -124,10 +144,7 @@
   }
   if (known && !same) {
     LogReplaced("check-in");
-  }
-  // A target that crashed may have restarted before any connection was refused.
-  if (known && !same && mTarget->mState == TargetState::Ready) {
-    mHandlers.mTargetGone();
+    mHandlers.mTargetEnded(StartTime(aCheckIn));
   }
   if (!same) {
     mTargetStarted = aCheckIn.mStarted;
@@ -181,6 +198,52 @@
   mHandlers.mStateChanged();
 }
 
+void
+LocalTargetProxy::OnRefusedConnection(const char* aReason)
+{
+  mHandlers.mTargetEnded(std::nullopt);
+  // A target that leaves stays draining, because check-ins that it sent before
+  // may still arrive.
+  if (mTarget->mState == TargetState::Ready) {
+    SetState(TargetState::Gone, aReason);
+  }
+}
+
+void
+LocalTargetProxy::ScheduleProbe()
+{
+  if (mProbe || mProbeScheduled) {
+    return;
+  }
+  mProbeScheduled = true;
+  mProbeTimer.StartOnce(
+    std::max(kProbeDelay, mLastProbe + kProbeInterval - SteadyNow()));
+}
+
+void
+LocalTargetProxy::StartProbe()
+{
+  mProbeScheduled = false;
+  if (mTarget->mState == TargetState::Gone) {
+    return;
+  }
+  mLastProbe = SteadyNow();
+  mProbe = std::make_unique<ConnectProbe>(
+    mLoop, mOptions.mAddress, kProbeTimeout, [this](ProbeResult aResult) {
+      OnProbeEnded(aResult);
+    });
+}
+
+void
+LocalTargetProxy::OnProbeEnded(ProbeResult aResult)
+{
+  // Destroyed later, because this is its callback.
+  mLoop.Defer([probe = std::shared_ptr<ConnectProbe>(std::move(mProbe))] {});
+  if (aResult == ProbeResult::Refused) {
+    OnRefusedConnection("refused a probe");
+  }
+}
+
 void
 LocalTargetProxy::LogReplaced(const char* aEvidence)
 {
@@ -335,14 +398,12 @@
     reply.mOutcome = CallOutcome::NotRun;
     reply.mReachedTarget = false;
     reply.mReason = "target_refused_connection";
-    if (mTarget->mState == TargetState::Ready) {
-      mHandlers.mTargetGone();
-      SetState(TargetState::Gone, "refused a connection");
-    }
+    OnRefusedConnection("refused a connection");
   } else if (aResult.mOutcome == TargetOutcome::ConnectionLost) {
     reply.mOutcome = CallOutcome::Unknown;
     reply.mReason = "target_connection_lost";
-    mHandlers.mConnectionLost(active.mCall);
+    mHandlers.mCallLost(active.mCall);
+    ScheduleProbe();
     mSuccessRate *= 1 - kSuccessWeight;
   } else if (response.mStatus == 421) {
     reply.mOutcome = CallOutcome::NotRun;
@@ -363,7 +424,7 @@
     reply.mHeaders = EndToEndHeaders(response.mHeaders);
     reply.mHeaders.Remove(mProtocol.Headers().mLoad);
     mLastResponseAt = now;
-    mHandlers.mAnswered(active.mCall);
+    mHandlers.mAnswered(active.mCall, active.mStartedAt);
     RecordRun(active, response.mStatus, time);
     reply.mBody = std::move(aResult.mResponse.mBody);
   }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -83,35 +83,39 @@
       },
       mLog,
       mMetrics)
-  , mLocalTarget(
-      aLoop,
-      { .mNode = aSettings.mName,
-        .mAddress = aSettings.mTargetAddress,
-        .mService = aSettings.mService },
-      aProtocol,
-      { .mStateChanged = [this] { PublishRecord(); },
-        .mRunFinished =
-          [this](const RunReport& aRun) {
-            mRollouts.OnRun(mSettings.mName, mIncarnation, aRun);
-          },
-        .mConnectionLost =
-          [this](const CallMessage& aCall) {
-            mCrashes.OnConnectionLost(aCall, SteadyNow());
-          },
-        .mAnswered =
-          [this](const CallMessage& aCall) { mCrashes.OnAnswered(aCall); },
-        .mTargetGone =
-          [this] { mCrashes.OnTargetGone(mSettings.mService, SteadyNow()); },
-        .mIsQuarantined =
-          [this](const CallMessage& aCall) {
-            return mCrashes.IsQuarantined(aCall);
-          },
-        .mVersionTakesRequests =
-          [this](const gateway::TargetInfo& aTarget) {
-            return mRollouts.TakesRequests(aTarget);
-          } },
-      mLog,
-      mMetrics)
+  , mLocalTarget(aLoop,
+                 { .mNode = aSettings.mName,
+                   .mAddress = aSettings.mTargetAddress,
+                   .mService = aSettings.mService },
+                 aProtocol,
+                 { .mStateChanged = [this] { PublishRecord(); },
+                   .mRunFinished =
+                     [this](const RunReport& aRun) {
+                       mRollouts.OnRun(mSettings.mName, mIncarnation, aRun);
+                     },
+                   .mCallLost =
+                     [this](const CallMessage& aCall) {
+                       mCrashes.OnCallLost(aCall, SteadyNow());
+                     },
+                   .mAnswered =
+                     [this](const CallMessage& aCall, Millis aSentAt) {
+                       mCrashes.OnAnswered(aCall, aSentAt, SteadyNow());
+                     },
+                   .mTargetEnded =
+                     [this](std::optional<Millis> aReplacedAt) {
+                       mCrashes.OnTargetEnded(
+                         mSettings.mService, aReplacedAt, SteadyNow());
+                     },
+                   .mIsQuarantined =
+                     [this](const CallMessage& aCall) {
+                       return mCrashes.IsQuarantined(aCall);
+                     },
+                   .mVersionTakesRequests =
+                     [this](const gateway::TargetInfo& aTarget) {
+                       return mRollouts.TakesRequests(aTarget);
+                     } },
+                 mLog,
+                 mMetrics)
   , mDispatcher(
       aLoop,
       { .mNode = aSettings.mName,
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -85,7 +85,7 @@
   if (now - mLastLoadCheck >= kLoadPeriod) {
     mLastLoadCheck = now;
     UpdateFollowerRole(now);
-    mCrashes.OnTick(WallNow());
+    mCrashes.OnTick(now, WallNow());
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
--- a/libs/sidecar/tests/CrashGuardTest.cpp
+++ b/libs/sidecar/tests/CrashGuardTest.cpp
@@ -1,6 +1,7 @@
 #include <sidecar/CrashGuard.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,16 +51,29 @@
     };
   }
 
-  /** Simulates a crash of a node's target with these requests in flight. */
-  void CrashTarget(std::size_t aNode, const std::vector<std::string>& aPaths)
+  /** Simulates a crash of a node's target with these requests in flight.
+   *  @param aNoticedAfter the time from the loss of their connections until the
+   *    end of the target shows. */
+  void CrashTarget(std::size_t aNode,
+                   const std::vector<std::string>& aPaths,
+                   Millis aNoticedAfter = {})
   {
-    const Millis now = SteadyNow();
     for (const std::string& path : aPaths) {
-      mGuards[aNode]->OnConnectionLost(Call(path), now);
+      mGuards[aNode]->OnCallLost(Call(path), mNow);
     }
-    mGuards[aNode]->OnTargetGone("s", now);
+    EndTarget(aNode, mNow + aNoticedAfter);
   }
 
+  /** Reports that the end of a node's target shows at the given time. */
+  void EndTarget(std::size_t aNode,
+                 Millis aNow,
+                 std::optional<Millis> aReplacedAt = {})
+  {
+    mGuards[aNode]->OnTargetEnded("s", aReplacedAt, aNow);
+    mGuards[aNode]->OnTick(aNow + CrashGuard::kSettleTime, WallNow());
+  }
+
+  const Millis mNow = Seconds(100);
   EventLoop mLoop;
   int mSink;
   EventLog mLog;
@@ -106,7 +120,7 @@
 {
   CrashTarget(0, { "/bad", "/good" });
   CrashTarget(1, { "/bad", "/good" });
-  mGuards[2]->OnAnswered(Call("/good"));
+  mGuards[2]->OnAnswered(Call("/good"), mNow, mNow);
   for (const auto& guard : mGuards) {
     EXPECT_TRUE(guard->IsQuarantined(Call("/bad")));
     EXPECT_FALSE(guard->IsQuarantined(Call("/good")));
@@ -114,15 +128,63 @@
 }
 
 // Guards against counting connection resets as crashes: the target still
-// accepts connections, so OnTargetGone() is not called.
+// accepts connections, so OnTargetEnded() is not called.
 TEST_F(CrashGuardTest, LostConnectionsAloneAreNotCrashes)
 {
   for (int i = 0; i < 10; ++i) {
-    mGuards[0]->OnConnectionLost(Call("/reset"), SteadyNow());
+    mGuards[0]->OnCallLost(Call("/reset"), mNow);
+    mGuards[0]->OnTick(mNow + Seconds(i), WallNow());
   }
   EXPECT_FALSE(mGuards[0]->IsQuarantined(Call("/reset")));
 }
 
+// Guards against crashes that are not counted because the end of the target
+// shows only when the next process checks in.
+TEST_F(CrashGuardTest, CallLostLongBeforeTheEndShowsIsASuspect)
+{
+  for (const std::size_t node : { 0, 1, 2 }) {
+    CrashTarget(node, { "/bad" }, Seconds(12));
+  }
+  EXPECT_TRUE(mGuards[3]->IsQuarantined(Call("/bad")));
+}
+
+// Guards against suspecting a request whose response was lost, when its target
+// ends much later for another reason.
+TEST_F(CrashGuardTest, CallThatItsTargetSurvivedIsNotASuspect)
+{
+  for (const std::size_t node : { 0, 1, 2 }) {
+    mGuards[node]->OnCallLost(Call("/lost"), mNow);
+    mGuards[node]->OnAnswered(Call("/next"), mNow + Seconds(1), mNow);
+    EndTarget(node, mNow + Seconds(5));
+  }
+  EXPECT_FALSE(mGuards[3]->IsQuarantined(Call("/lost")));
+}
+
+// Guards against taking an answer of the next process, which may have the same
+// id, as evidence that the crashed one has survived.
+TEST_F(CrashGuardTest, AnswerOfTheNextProcessDoesNotClearTheCrashRequest)
+{
+  for (const std::size_t node : { 0, 1, 2 }) {
+    mGuards[node]->OnCallLost(Call("/bad"), mNow);
+    mGuards[node]->OnAnswered(
+      Call("/next"), mNow + Seconds(3), mNow + Seconds(4));
+    EndTarget(node, mNow + Seconds(5), mNow + Seconds(2));
+  }
+  EXPECT_TRUE(mGuards[3]->IsQuarantined(Call("/bad")));
+}
+
+// Guards against leaving out requests of which the connection loss is read
+// after the refused connection that shows the crash.
+TEST_F(CrashGuardTest, CallLostRightAfterTheEndShowsIsASuspect)
+{
+  for (const std::size_t node : { 0, 1, 2 }) {
+    mGuards[node]->OnTargetEnded("s", std::nullopt, mNow);
+    mGuards[node]->OnCallLost(Call("/bad"), mNow + Millis{ 10 });
+    mGuards[node]->OnTick(mNow + CrashGuard::kSettleTime, WallNow());
+  }
+  EXPECT_TRUE(mGuards[3]->IsQuarantined(Call("/bad")));
+}
+
 TEST_F(CrashGuardTest, DuplicateCrashReportIsIgnored)
 {
   const CrashMessage report{
