Count a crash that shows by a 421 of the next process

What callers saw: as before, if the target was back before a request was refused, the request that crashed it was not counted.

Cause: a 421 of the next process set the state of the target to gone without a report. Its check-in came later and was dropped as evidence, since only a target in the state ready counted.

Change: the 421 is evidence for the end of the process that it replaced.

Result: adapter.CrashingTargets.CrashIsCountedIfTheNextProcessRejectsARequestFirst failed before (502 instead of 503 and one crash more) and passes.

--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -409,6 +409,7 @@
     reply.mOutcome = CallOutcome::NotRun;
     reply.mReason = "another_target";
     LogReplaced("rejected a request for its predecessor");
+    mHandlers.mTargetEnded(std::nullopt);
     if (mTarget->mState == TargetState::Ready) {
       SetState(TargetState::Gone, "another target has the address");
     }
