Suspect calls that were cancelled before their target crashed

What callers saw: a request whose caller leaves, or whose deadline passes, shortly before it crashes the target was never quarantined.

Cause: only a lost connection made a call a suspect. A call that its node had cancelled had no record (crash_not_counted with lost_calls 0).

Change: a call that was sent and cancelled, or ended at its deadline, is a suspect like one whose connection was lost, until the target has answered a call that was sent later.

Result: adapter.CrashingTargets.CrashIsCountedIfTheRequestWasCancelledBefore failed before (502 instead of 503 and one crash more) and passes.

--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -525,6 +525,7 @@
                  { "waiting", mQueue.Waiting() } });
   }
   if (active.mSentToTarget) {
+    mHandlers.mCallLost(active.mCall);
     mClient.Cancel(active.mClientCall);
     FreeSlot();
   } else {
@@ -561,6 +562,7 @@
       continue;
     }
     mClient.Cancel(active.mClientCall);
+    mHandlers.mCallLost(active.mCall);
     mSuccessRate *= 1 - kSuccessWeight;
     mMetrics.OnRun("deadline", now - active.mStartedAt);
     if (mLastResponseAt < active.mStartedAt) {
