papayaway-node: keep crash suspects until the target is back

Cause: CrashSuspectTracker kept broken calls for 10 s, cancelled and timed out calls ended without a record, and the silence of a target (2 s without announcements) was not used as evidence.

Change: a call that ended without an answer is kept for 30 s, or for 10 s if the target has answered a later call. Silence after such a call is reported as a crash, so that the report does not wait for the next process.

Result: node.CrashSuspectTracker.BrokenCallCountsUntilTheTargetIsBack could not pass with the window of 10 s; the tests of the tracker, of links and of failed calls pass. The silence path has no test of its own.

--- a/libs/node/src/CrashSuspectTracker.cpp
+++ b/libs/node/src/CrashSuspectTracker.cpp
@@ -17,6 +17,27 @@
   mSent.erase(aCall);
 }
 
+void
+CrashSuspectTracker::OnAnswered(CallId aCall)
+{
+  const auto found = mSent.find(aCall);
+  if (found == mSent.end()) {
+    return;
+  }
+  for (SentCall& broken : mBroken) {
+    broken.mSurvived = broken.mSurvived || broken.mTime < found->second.mTime;
+  }
+  mSent.erase(found);
+}
+
+void
+CrashSuspectTracker::Expire(Millis aNow)
+{
+  std::erase_if(mBroken, [&](const SentCall& aBroken) {
+    return aNow - aBroken.mTime > (aBroken.mSurvived ? kWindow : kRetention);
+  });
+}
+
 void
 CrashSuspectTracker::OnBroken(CallId aCall, Millis aNow)
 {
@@ -24,8 +45,8 @@
   if (found == mSent.end()) {
     return;
   }
-  while (!mBroken.empty() && (mBroken.size() >= kMaxBroken ||
-                              aNow - mBroken.front().mTime > kWindow)) {
+  Expire(aNow);
+  if (mBroken.size() >= kMaxBroken) {
     mBroken.pop_front();
   }
   mBroken.push_back({ std::move(found->second.mFingerprint), aNow });
@@ -35,9 +56,7 @@
 std::vector<std::string>
 CrashSuspectTracker::TakeSuspects(Millis aNow)
 {
-  std::erase_if(mBroken, [&](const SentCall& aBroken) {
-    return aNow - aBroken.mTime > kWindow;
-  });
+  Expire(aNow);
   std::vector<std::string> suspects;
   for (const SentCall& broken : mBroken) {
     suspects.push_back(broken.mFingerprint);
--- a/libs/node/src/LocalTarget.cpp
+++ b/libs/node/src/LocalTarget.cpp
@@ -92,7 +92,12 @@
   : mContext(aContext)
   , mHandlers(std::move(aHandlers))
   , mSilenceTimer(aContext.mLoop, [this] {
+    const bool leaving =
+      mDrained || (mCurrent && mCurrent->mState == EndpointState::Draining);
     mCurrent.reset();
+    if (!leaving) {
+      mHandlers.mSilent();
+    }
     Publish(EndpointState::Gone);
   })
 {
--- a/libs/node/src/LocalTarget.h
+++ b/libs/node/src/LocalTarget.h
@@ -38,6 +38,9 @@
   /** Called when the target's process was replaced without a drain, or refused
    *  a connection. */
   std::function<void()> mRestarted;
+  /** Called when the target has sent no announcement for 2 s and had not said
+   *  that it leaves. */
+  std::function<void()> mSilent;
 };
 
 /**
--- a/libs/node/src/NodeImpl.h
+++ b/libs/node/src/NodeImpl.h
@@ -81,7 +81,8 @@
         mContext,
         { .mChanged =
             [this](const EndpointFact& aFact) { mReplicator.Publish(aFact); },
-          .mRestarted = [this] { mTargetProxy.OnTargetRestarted(); } })
+          .mRestarted = [this] { mTargetProxy.OnTargetRestarted(); },
+          .mSilent = [this] { mTargetProxy.OnTargetSilent(); } })
     , mTargetProxy(
         mContext,
         mTarget,
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -244,8 +244,11 @@
   // A request that was sent again on a new connection may already have run on
   // the previous one.
   if (aResult.mFailure == HttpFailure::ConnectionLost ||
+      aResult.mFailure == HttpFailure::Timeout ||
       (refused && aResult.mMayHaveRun)) {
     mSuspectTracker.OnBroken(aId, SteadyNow());
+  } else if (aResult.mFailure == HttpFailure::None) {
+    mSuspectTracker.OnAnswered(aId);
   } else {
     mSuspectTracker.OnEnded(aId);
   }
@@ -331,6 +334,15 @@
   mHandlers.mCrashed(mTargetService, mSuspectTracker.TakeSuspects(SteadyNow()));
 }
 
+void
+TargetProxy::OnTargetSilent()
+{
+  // A target that is only slow keeps its connections.
+  if (mSuspectTracker.HasBroken()) {
+    OnTargetRestarted();
+  }
+}
+
 void
 TargetProxy::Finish(ServedId aId, Reply aReply)
 {
@@ -356,7 +368,7 @@
   const HttpClient::CallId httpId = found->second.mHttpId;
   mServed.erase(found);
   if (atTarget) {
-    mSuspectTracker.OnEnded(aId);
+    mSuspectTracker.OnBroken(aId, SteadyNow());
     mClient.Cancel(httpId);
   } else {
     mAdmission.Cancel(aId);
--- a/libs/node/src/TargetProxy.h
+++ b/libs/node/src/TargetProxy.h
@@ -70,6 +70,10 @@
    *  replaced or refused a connection. */
   void OnTargetRestarted();
 
+  /** Does the same after the target fell silent, if connections broke before.
+   */
+  void OnTargetSilent();
+
   /** @return the number of calls at the target and in the queue. */
   [[nodiscard]] std::size_t Load() const;
 
