Deliver responses whole when their connection closes

Cause: CallerServer erased the connection when it had passed the last response to the stream. Nothing else owned the stream, so its destructor discarded what the socket had not accepted. The end of a stop also looked only at requests without a response, not at responses being written.

Change: the connection owns its stream until the caller has read everything: it stays in the server's list, signals the end of the stream after the last byte and waits until the caller closes, at most 1 s after that. Idle connections are closed in the same way, so that input that crosses the close does not reset the connection. Unfinished() counts these connections.

--- a/libs/http/include/http/CallerServer.h
+++ b/libs/http/include/http/CallerServer.h
@@ -87,7 +87,7 @@
   void CloseAfterResponses();
 
   /** Closes the connections on which no request is being received or waits
-   *  for its response. */
+   *  for its response, once the responses to earlier requests are written. */
   void CloseIdle();
 
   void StopAccepting();
@@ -99,6 +99,10 @@
    *    connection. */
   [[nodiscard]] std::size_t InFlight() const;
 
+  /** @return the number of connections of which the last response has not been
+   *    written, or that the caller has not closed after it. */
+  [[nodiscard]] std::size_t Unfinished() const;
+
   [[nodiscard]] std::size_t Connections() const;
 
   /** @return how often reading from a connection has paused because too much
--- a/libs/http/include/http/TcpStream.h
+++ b/libs/http/include/http/TcpStream.h
@@ -58,14 +58,19 @@
   /** Closes the connection now. No handler is called afterwards. */
   void Close();
 
-  /** Closes the connection once all buffered bytes are written. Bytes that the
-   *  peer sends until then are read and discarded, because closing a socket
-   *  with unread bytes resets the connection. */
+  /** Ends the connection once all buffered bytes are written: signals the end
+   *  to the peer, then waits until the peer closes the connection and calls
+   *  mEnded. Bytes that the peer sends until then are read and discarded,
+   *  because closing a socket with unread bytes resets the connection, which
+   *  can cost the peer the last bytes. The owner keeps the stream alive until
+   *  then, and limits the time. */
   void CloseWhenWritten();
 
   [[nodiscard]] bool Connected() const { return !mConnecting && !mClosed; }
   /** @return the number of buffered bytes. */
   [[nodiscard]] std::size_t UnsentBytes() const { return mUnsent.size(); }
+  /** @return when the socket last accepted bytes or the end of the stream. */
+  [[nodiscard]] Millis LastProgress() const { return mLastProgress; }
 
 private:
   void OnReady(bool aRead, bool aWrite);
@@ -80,6 +85,9 @@
   bool mReading = true;
   bool mClosed = false;
   bool mClosing = false;
+  /** Whether the end of the stream was signalled to the peer. */
+  bool mEndSent = false;
+  Millis mLastProgress;
   TcpStreamHandlers mHandlers;
   TcpStreamOptions mOptions;
   std::unique_ptr<IoWatcher> mWatcher;
--- a/libs/http/src/CallerServer.cpp
+++ b/libs/http/src/CallerServer.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxHeldBytes = std::size_t{ 64 } << 10;
 /** Half of the file descriptors available on a small host. */
 constexpr std::size_t kMaxConnections = 2000;
+/** How long a caller may take to close a connection after it was sent the end
+ *  of the stream. */
+constexpr Millis kCloseTimeout = Seconds(1);
 /** Interval at which the timeouts of connections are checked. */
 constexpr Millis kSweepPeriod{ 500 };
 
@@ -73,6 +76,7 @@
   void Accept(std::shared_ptr<TcpStream> aStream);
   void CheckAllTimeouts();
   void CloseConnections(bool aIncludeBusy);
+  [[nodiscard]] std::size_t Unfinished() const;
 };
 
 class CallerServer::Connection
@@ -108,6 +112,14 @@
   /** Closes the connection or responds 408 if a timeout has passed. */
   void CheckTimeouts(Millis aNow, const CallerLimits& aLimits)
   {
+    const Millis lastWrite = mStream->LastProgress();
+    if (mClosing) {
+      const bool written = mStream->UnsentBytes() == 0;
+      if (aNow - lastWrite > (written ? kCloseTimeout : aLimits.mIdleTimeout)) {
+        End();
+      }
+      return;
+    }
     if (mParser.InMessage()) {
       const bool timedOut = mParser.InHeaders()
                               ? aNow - mMessageBegan > aLimits.mHeaderTimeout
@@ -117,14 +129,22 @@
       }
       return;
     }
-    if (mWaiting.empty() && aNow - mLastActivity > aLimits.mIdleTimeout) {
+    if (mWaiting.empty() &&
+        aNow - std::max(mLastActivity, lastWrite) > aLimits.mIdleTimeout) {
       End();
     }
   }
 
   [[nodiscard]] bool Idle() const
   {
-    return mWaiting.empty() && !mParser.InMessage();
+    return mWaiting.empty() && !mParser.InMessage() && !mClosing;
+  }
+
+  /** @return whether the end of a response has not reached the caller as far as
+   *    is known. */
+  [[nodiscard]] bool Unfinished() const
+  {
+    return mClosing || mStream->UnsentBytes() > 0;
   }
 
   /** Closes the connection and runs the OnAbandoned() callbacks of the waiting
@@ -143,6 +163,16 @@
     server.mLoop.Defer([self] {});
   }
 
+  /** Ends the connection after its last response. It stays in the server's list
+   *  until the caller has read everything and closed it. */
+  void CloseWhenWritten()
+  {
+    mClosing = true;
+    mIgnoringInput = true;
+    Abandon(*mServer);
+    mStream->CloseWhenWritten();
+  }
+
 private:
   struct Exchange : CallerExchange
   {
@@ -313,11 +343,7 @@
                      close,
                      exchange->mRequest.mMethod == "HEAD"));
       if (close) {
-        Impl& server = *std::exchange(mServer, nullptr);
-        mStream->CloseWhenWritten();
-        Abandon(server);
-        server.mConnections.erase(this);
-        server.mLoop.Defer([self] {});
+        CloseWhenWritten();
         return;
       }
     }
@@ -339,6 +365,8 @@
   Millis mMessageBegan;
   /** Whether further bytes of the caller are ignored. */
   bool mIgnoringInput = false;
+  /** Whether the connection ends once all responses are written. */
+  bool mClosing = false;
 };
 
 void
@@ -377,10 +405,23 @@
     }
   }
   for (const std::shared_ptr<Connection>& connection : connections) {
-    connection->End();
+    if (aIncludeBusy) {
+      connection->End();
+    } else {
+      connection->CloseWhenWritten();
+    }
   }
 }
 
+std::size_t
+CallerServer::Impl::Unfinished() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mConnections.begin(), mConnections.end(), [](const auto& a) {
+      return a.second->Unfinished();
+    }));
+}
+
 CallerServer::CallerServer(std::unique_ptr<Impl> aImpl)
   : mImpl(std::move(aImpl))
 {
@@ -449,6 +490,12 @@
   return mImpl->mInFlight;
 }
 
+std::size_t
+CallerServer::Unfinished() const
+{
+  return mImpl->Unfinished();
+}
+
 std::size_t
 CallerServer::Connections() const
 {
--- a/libs/http/src/TcpStream.cpp
+++ b/libs/http/src/TcpStream.cpp
@@ -181,12 +181,14 @@
       return;
     }
     if (length > 0) {
+      mLastProgress = SteadyNow();
       mUnsent.erase(0, static_cast<std::size_t>(length));
     }
   }
-  if (mClosing && mUnsent.empty()) {
-    Close();
-    return;
+  if (mClosing && mUnsent.empty() && !mEndSent) {
+    mEndSent = true;
+    mLastProgress = SteadyNow();
+    shutdown(mDescriptor, SHUT_WR);
   }
   Watch();
 }
@@ -238,6 +240,7 @@
     return;
   }
   mClosing = true;
+  mLastProgress = SteadyNow();
   if (!mConnecting) {
     Flush();
   }
