End a stop after all responses and peer messages are written

What callers saw: responses to callers of a stopping node, and answers of its target to callers of other nodes, could be cut by the end of the process.

Cause: ContinueStop() ended the process once no request waited for its response. Responses that were being written, calls of other nodes that were received and not yet served, and messages in the buffers of links did not count, and a process that ends resets its connections.

Change: the stop waits for CallerServer::Unfinished() and for received calls. Then the links are closed after their last message, and the process ends when the peers have read everything and closed them, or after 1 s if nothing is left to write; the end of the grace period remains the limit.

A test that cuts an answer on a link in the old code does not exist.

--- a/libs/net/include/net/PeerSocket.h
+++ b/libs/net/include/net/PeerSocket.h
@@ -56,6 +56,14 @@
    *  together. */
   void Send(const std::string& aMessage);
 
+  /** Signals the end of the stream to the peer once all messages are written.
+   *  Later messages are dropped. mClosed is called when the peer has closed the
+   *  connection, which it does after it has read everything. */
+  void CloseWhenWritten();
+
+  /** @return the number of bytes that wait to be written. */
+  [[nodiscard]] std::size_t UnsentBytes() const;
+
   [[nodiscard]] bool IsOpen() const;
 
   /** @return the number of bytes written to the socket so far. */
--- a/libs/net/src/PeerSocket.cpp
+++ b/libs/net/src/PeerSocket.cpp
@@ -49,6 +49,10 @@
   bool mFlushScheduled = false;
   bool mOpen = false;
   bool mEnded = false;
+  /** Whether the stream ends once all messages are written, and whether its end
+   *  was signalled. */
+  bool mClosing = false;
+  bool mEndSent = false;
 
   Impl(EventLoop& aLoop, int aDescriptor, const PeerSocketOptions& aOptions)
     : mLoop(aLoop)
@@ -69,6 +73,9 @@
   {
     WebSocketHandlers handlers;
     handlers.mWrite = [this](const char* aData, std::size_t aSize) {
+      if (mClosing) {
+        return;
+      }
       mUnsent.append(aData, aSize);
       ScheduleFlush();
     };
@@ -162,7 +169,11 @@
 
   void Flush()
   {
-    if (mEnded || mConnecting || mUnsent.empty()) {
+    if (mEnded || mConnecting) {
+      return;
+    }
+    if (mUnsent.empty()) {
+      SignalEnd();
       return;
     }
     const ssize_t length =
@@ -180,6 +191,15 @@
       return;
     }
     mWatcher->Watch(true, !mUnsent.empty());
+    SignalEnd();
+  }
+
+  void SignalEnd()
+  {
+    if (mClosing && !mEndSent && mUnsent.empty()) {
+      mEndSent = true;
+      shutdown(mDescriptor, SHUT_WR);
+    }
   }
 
   void End(std::string aReason)
@@ -270,6 +290,19 @@
   }
 }
 
+void
+PeerSocket::CloseWhenWritten()
+{
+  mImpl->mClosing = true;
+  mImpl->ScheduleFlush();
+}
+
+std::size_t
+PeerSocket::UnsentBytes() const
+{
+  return mImpl->mUnsent.size();
+}
+
 bool
 PeerSocket::IsOpen() const
 {
--- a/libs/sidecar/include/sidecar/PeerMesh.h
+++ b/libs/sidecar/include/sidecar/PeerMesh.h
@@ -117,11 +117,22 @@
 
   [[nodiscard]] std::size_t LinkCount() const { return mLinks.size(); }
 
+  /** Closes each link once its messages are written and opens no more. Later
+   *  messages are dropped; further calls have no effect. */
+  void CloseWhenWritten();
+
+  /** @return whether, after CloseWhenWritten(), the peers have received all
+   *    messages as far as this can be awaited. */
+  [[nodiscard]] bool IsClosed(Millis aNow) const;
+
   /** Closes silent and idle links and opens missing ones. Called
    *  periodically, several times per second. */
   void Tick(Millis aNow);
 
 private:
+  /** How long peers may take to close their ends of the links. */
+  static constexpr Millis kCloseTimeout = Seconds(1);
+
   /** A message that waits until its link is open. */
   struct QueuedMessage
   {
@@ -182,6 +193,8 @@
   std::map<std::string, Millis> mLastFailures;
   LinkId mNextId = 1;
   Millis mLastTick;
+  /** When CloseWhenWritten() was called. */
+  std::optional<Millis> mClosingSince;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -336,6 +336,30 @@
   return id;
 }
 
+void
+PeerMesh::CloseWhenWritten()
+{
+  if (mClosingSince) {
+    return;
+  }
+  mClosingSince = SteadyNow();
+  mListener.reset();
+  for (auto& entry : mLinks) {
+    entry.second.mSocket->CloseWhenWritten();
+  }
+}
+
+bool
+PeerMesh::IsClosed(Millis aNow) const
+{
+  const bool written =
+    std::all_of(mLinks.begin(), mLinks.end(), [](const auto& aEntry) {
+      return aEntry.second.mSocket->UnsentBytes() == 0;
+    });
+  return mLinks.empty() ||
+         (written && mClosingSince && aNow - *mClosingSince >= kCloseTimeout);
+}
+
 void
 PeerMesh::Tick(Millis aNow)
 {
@@ -360,6 +384,9 @@
   for (const LinkId id : idle) {
     CloseLink(id, "idle");
   }
+  if (mClosingSince) {
+    return;
+  }
   for (auto& [node, peer] : mPersistentPeers) {
     if (BestLink(node) == 0 && peer.mNextAttempt <= aNow &&
         OpeningLink(node) == 0) {
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -119,15 +119,21 @@
   }
   mCallerServer->StopAccepting();
   mCallerServer->CloseIdle();
-  const bool idle = mCallerServer->InFlight() == 0 && mPeerCalls.empty();
-  if (!idle && aNow < mStop->End()) {
+  const bool idle = mCallerServer->InFlight() == 0 && mPeerCalls.empty() &&
+                    mReceivedCalls.empty() && mCallerServer->Unfinished() == 0;
+  if (idle) {
+    mMesh.CloseWhenWritten();
+  }
+  if ((!idle || !mMesh.IsClosed(aNow)) && aNow < mStop->End()) {
     return;
   }
   mTickTimer.Stop();
   mLog.WriteStateChange("node",
                         "stopped",
                         { { "after_ms", (aNow - mStopStarted).WholeMillis() },
-                          { "unfinished", mCallerServer->InFlight() } });
+                          { "unfinished", mCallerServer->InFlight() },
+                          { "unwritten", mCallerServer->Unfinished() },
+                          { "links", mMesh.LinkCount() } });
   mLog.Flush();
   mOnStopped();
 }
