--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -89,9 +89,11 @@
   LocalTargetProxy& operator=(const LocalTargetProxy&) = delete;
   ~LocalTargetProxy();
 
-  /** Applies a check-in of the target. Outdated check-ins, those of targets
-   *  that have left and those of another address or service are ignored. */
-  void OnCheckIn(const CheckIn& aCheckIn);
+  /** Applies a check-in of the target. Outdated check-ins and those of targets
+   *  that have left are ignored. Those of another address or service, or with a
+   *  start time in the future, are rejected.
+   *  @return whether the check-in may be acknowledged. */
+  [[nodiscard]] bool OnCheckIn(const CheckIn& aCheckIn);
 
   /** Handles the announcement that the target leaves, also one that an earlier
    *  process of this node has received. From then on, check-ins that this
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -41,6 +41,9 @@
    *  @param aState the state of the call that was cancelled. */
   void OnCancelled(const std::string& aState);
 
+  /** Counts a check-in by what became of it. */
+  void OnCheckIn(const std::string& aOutcome);
+
   /** Counts a call to the platform's store by kind of call and outcome. */
   void OnStoreCall(const std::string& aCall, const std::string& aOutcome);
 
@@ -53,6 +56,7 @@
   prometheus::Family<prometheus::Counter>& mAbandoned;
   prometheus::Family<prometheus::Counter>& mCancelled;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
+  prometheus::Family<prometheus::Counter>& mCheckIns;
 
 public:
   prometheus::Histogram& mRunTimes;
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -101,7 +101,7 @@
 
 LocalTargetProxy::~LocalTargetProxy() = default;
 
-void
+bool
 LocalTargetProxy::OnCheckIn(const CheckIn& aCheckIn)
 {
   const bool known = mTarget.has_value();
@@ -128,7 +128,7 @@
                      : future ? "start time in the future"
                               : "another address or service" } });
     }
-    return;
+    return !foreign && !future;
   }
   mSequence = aCheckIn.mSequence;
   mColdUntil = SteadyNow() + aCheckIn.mColdLeft;
@@ -140,7 +140,7 @@
     target.mState = TargetState::Draining;
   }
   if (same && target == *mTarget) {
-    return;
+    return true;
   }
   if (known && !same) {
     LogReplaced("check-in");
@@ -155,6 +155,7 @@
   mTarget = target;
   mQueue.SetSlots(target.mSlots);
   SetState(target.mState, "check-in");
+  return true;
 }
 
 void
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -345,11 +345,13 @@
   const Expected<CheckIn> checkIn =
     mProtocol.DecodeCheckIn(aTargetId, aExchange.Request().mBody);
   if (checkIn) {
-    mLocalTarget.OnCheckIn(*checkIn);
-    aExchange.Respond(JsonResponse(200, "{}"));
+    const bool accepted = mLocalTarget.OnCheckIn(*checkIn);
+    mMetrics.OnCheckIn(accepted ? "accepted" : "not_of_this_target");
+    aExchange.Respond(JsonResponse(accepted ? 200 : 400, "{}"));
     return;
   }
   mMetrics.mBadInput.Increment();
+  mMetrics.OnCheckIn("unreadable");
   if (mLog.ShouldWrite("bad_check_in", EventLog::Category::Failure)) {
     mLog.Write(
       "target",
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -74,6 +74,9 @@
   , mStoreCalls(CounterFamily(mRegistry,
                               "papayaway_store_calls_total",
                               "Calls of the platform's store by outcome"))
+  , mCheckIns(CounterFamily(mRegistry,
+                            "papayaway_check_ins_total",
+                            "Check-ins by what became of them"))
   , mRunTimes(HistogramFamily(mRegistry,
                               "papayaway_run_milliseconds",
                               "Time of requests at the local target")
@@ -169,6 +172,12 @@
   mCancelled.Add({ { "state", aState } }).Increment();
 }
 
+void
+SidecarMetrics::OnCheckIn(const std::string& aOutcome)
+{
+  mCheckIns.Add({ { "outcome", aOutcome } }).Increment();
+}
+
 void
 SidecarMetrics::OnStoreCall(const std::string& aCall,
                             const std::string& aOutcome)
