papayaway-node: reject announcements without an instance

Cause: an announcement whose instance is missing or of another type was accepted with an empty instance. It counted as that of a new process: a target that the node had drained became ready, and a crash was reported.

Change: the instance is required like service and version.

Result: node.ParseAnnouncement.AnnouncementWithAChangedFieldIsRejected failed before (all four changes of the instance) and passes.

--- a/libs/node/src/LocalTarget.cpp
+++ b/libs/node/src/LocalTarget.cpp
@@ -66,10 +66,12 @@
                                    .mSlots = CountField(json, "slots"),
                                    .mConnections =
                                      CountField(json, "connections") };
-  for (const std::string* const name :
-       { &announcement.mService, &announcement.mVersion }) {
+  for (const std::string* const name : { &announcement.mService,
+                                         &announcement.mVersion,
+                                         &announcement.mInstance }) {
     if (name->empty() || name->size() > kMaxNameLength) {
-      return Fail(ErrorCode::Invalid, "service or version is missing");
+      return Fail(ErrorCode::Invalid,
+                  "service, version or instance is missing or too long");
     }
   }
   if (const auto address = ParseAddress(announcement.mAddress); !address) {
