Test that endless responses of a target do not fill the memory

What operators of similar systems saw: a target sent bytes without end; the node that had called it kept them all and ran out of memory, and the requests of other callers ended with the process.

Finding: it can't happen here. papayaway-sidecar ends a call after 3 MiB, papayaway-node after 64 KiB of header fields or the largest body.

--- a/libs/node/tests/CallFailureTest.cpp
+++ b/libs/node/tests/CallFailureTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 
 #include "ClusterTest.h"
@@ -205,5 +206,82 @@
   EXPECT_GT(target.Requests(), 1);
 }
 
+/** How a target sends bytes without end. */
+struct EndlessResponse
+{
+  std::string mName;
+  std::string mStart;
+  std::string mRepeated;
+};
+
+class EndlessResponses
+  : public CallFailure
+  , public testing::WithParamInterface<EndlessResponse>
+{};
+
+// Guards against a target that fills the memory of its node with bytes without
+// end, so that the requests of other callers on that host end with the process.
+TEST_P(EndlessResponses, DoNotFillTheMemoryOfTheNode)
+{
+  // The largest response body is 1 MiB.
+  constexpr std::size_t kMaxGrowth = std::size_t{ 48 } << 20;
+  constexpr int kCalls = 4;
+  std::vector<NodePlan> plans = PlansInTwoDataCentres(2, 1);
+  plans.push_back(
+    { .mName = "raw", .mDataCentre = "nbo-1", .mRegion = "nairobi" });
+  ASSERT_NO_FATAL_FAILURE(
+    StartCluster(plans, SampleWithLongDeadlines("rafiki.json")));
+  RawTarget target(mCluster, "raw", GetParam().mStart, GetParam().mRepeated);
+  target.Announce("hammer");
+  ASSERT_TRUE(WaitForReady(mCluster.NodeNames(), 4));
+  std::vector<HttpResult> results;
+  int key = 0;
+  const pid_t node = mCluster.NodeProcess("raw").Id();
+  const std::size_t before = UsageOf(node).mResidentBytes;
+  std::size_t most = before;
+  ASSERT_GT(before, 0U);
+  ASSERT_TRUE(mCluster.WaitUntil([&] {
+    most = std::max(most, UsageOf(node).mResidentBytes);
+    if (mSent - mEnded < kCalls) {
+      SendBid("raw", "key-" + std::to_string(key++), results);
+    }
+    return target.Requests() >= kCalls;
+  }));
+  ASSERT_TRUE(mCluster.WaitUntil([&] {
+    most = std::max(most, UsageOf(node).mResidentBytes);
+    return mEnded == mSent && target.OpenConnections() == 0;
+  }));
+  EXPECT_GT(target.MostBytesSent(), 0U);
+  EXPECT_LT(most - before, kMaxGrowth);
+  EXPECT_TRUE(mCluster.NodeProcess("raw").IsRunning());
+  for (const HttpResult& result : results) {
+    EXPECT_EQ(result.mFailure, HttpFailure::None) << result.mError;
+    EXPECT_EQ(result.mResponse.mBody.find("endless"), std::string::npos);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Forms,
+  EndlessResponses,
+  testing::Values(
+    EndlessResponse{ "Bytes", "endless", " endless" },
+    EndlessResponse{ "StatusLine", "HTTP/1.1 200 ", "endless" },
+    EndlessResponse{ "HeaderFields", "HTTP/1.1 200 OK\r\n", "A: endless\r\n" },
+    EndlessResponse{ "InterimResponses",
+                     "",
+                     "HTTP/1.1 103 Early Hints\r\nA: endless\r\n\r\n" },
+    EndlessResponse{ "Body", "HTTP/1.1 200 OK\r\n\r\n", "endless" },
+    EndlessResponse{ "Chunks",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "7\r\nendless\r\n" },
+    EndlessResponse{ "ChunkExtension",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                     "endless" },
+    EndlessResponse{
+      "Trailers",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "A: endless\r\n" }),
+  [](const auto& aInfo) { return aInfo.param.mName; });
+
 } // namespace
 } // namespace papayaway
--- a/libs/node/tests/RawTarget.cpp
+++ b/libs/node/tests/RawTarget.cpp
@@ -1,6 +1,8 @@
 #include "RawTarget.h"
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 
 #include <sys/socket.h>
@@ -12,12 +14,17 @@
 
 RawTarget::RawTarget(Cluster& aCluster,
                      const std::string& aNode,
-                     std::string aResponse)
+                     std::string aResponse,
+                     const std::string& aRepeated)
   : mCluster(aCluster)
   , mNode(aNode)
   , mResponse(std::move(aResponse))
   , mAnnouncements(aCluster.Loop(), [this] { Announce(mService); })
 {
+  constexpr std::size_t kBlockSize = 65536;
+  while (!aRepeated.empty() && mRepeated.size() < kBlockSize) {
+    mRepeated += aRepeated;
+  }
   mListener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in address = *ParseAddress("127.0.0.1:0");
   socklen_t size = sizeof address;
@@ -77,6 +84,10 @@
 void
 RawTarget::Serve(int aSocket)
 {
+  if (mBytesSent.contains(aSocket)) {
+    SendMore(aSocket);
+    return;
+  }
   std::array<char, 65536> bytes{};
   const ssize_t count = read(aSocket, bytes.data(), bytes.size());
   if (count > 0) {
@@ -84,12 +95,41 @@
     const ssize_t written =
       send(aSocket, mResponse.data(), mResponse.size(), MSG_NOSIGNAL);
     static_cast<void>(written);
+    if (!mRepeated.empty()) {
+      mBytesSent[aSocket] = 0;
+      mConnections.at(aSocket).Watch(false, true);
+      return;
+    }
   }
+  Close(aSocket);
+}
+
+void
+RawTarget::SendMore(int aSocket)
+{
+  std::size_t& sent = mBytesSent.at(aSocket);
+  const std::size_t offset = sent % mRepeated.size();
+  const ssize_t count = send(aSocket,
+                             mRepeated.data() + offset,
+                             mRepeated.size() - offset,
+                             MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (count > 0) {
+    sent += static_cast<std::size_t>(count);
+    mMostBytesSent = std::max(mMostBytesSent, sent);
+  } else if (count == 0 || errno != EAGAIN) {
+    Close(aSocket);
+  }
+}
+
+void
+RawTarget::Close(int aSocket)
+{
   mConnections.at(aSocket).Watch(false, false);
   shutdown(aSocket, SHUT_RDWR);
   // The watcher can't be destroyed inside its own callback.
   mCluster.Loop().Defer([this, aSocket] {
     mConnections.erase(aSocket);
+    mBytesSent.erase(aSocket);
     close(aSocket);
   });
 }
