--- a/libs/config/include/config/SidecarSettings.h
+++ b/libs/config/include/config/SidecarSettings.h
@@ -49,6 +49,22 @@
   /** The maximum fraction of the requests of a service, over all nodes, that
    *  are sent to a second target. */
   double mMaxRetryFraction = 0.2;
+  /** In any second, a cold target may get its tolerated rate times this factor
+   *  plus mColdSlack requests. */
+  double mColdFactor = 1.5;
+  double mColdSlack = 8;
+  /** How long after the order to evacuate a data centre its targets may still
+   *  get requests. */
+  Millis mEvacuationLimit = Seconds(5);
+  /** In any window of this length, a tenant may get what its usage cap allows,
+   *  plus this fraction of it, plus mQuotaSlack requests. */
+  Millis mQuotaWindow = Seconds(5);
+  double mQuotaExcess = 0.1;
+  double mQuotaSlack = 20;
+  /** Whether a node refuses tenants when it has been unable to confirm for
+   *  mRevocationLimit that its desired state is the newest. */
+  bool mStrictRevocation = false;
+  Millis mRevocationLimit = Seconds(5);
 
   bool operator==(const SidecarSettings&) const = default;
 };
--- a/libs/config/src/SidecarSettings.cpp
+++ b/libs/config/src/SidecarSettings.cpp
@@ -46,26 +46,30 @@
   };
 }
 
-std::string
-SetMaxRetryFraction(S& aSettings, const std::string& aValue)
+Setter
+NumberUpTo(double S::*aMember, int aMax)
 {
-  const char* const end = aValue.data() + aValue.size();
-  const auto parsed =
-    std::from_chars(aValue.data(), end, aSettings.mMaxRetryFraction);
-  return parsed.ec == std::errc() && parsed.ptr == end &&
-             aSettings.mMaxRetryFraction >= 0 &&
-             aSettings.mMaxRetryFraction <= 1
-           ? ""
-           : "\"" + aValue + "\" is not a number from 0 to 1";
+  return [=](S& aSettings, const std::string& aValue) {
+    const char* const end = aValue.data() + aValue.size();
+    double& number = aSettings.*aMember;
+    const auto parsed = std::from_chars(aValue.data(), end, number);
+    return parsed.ec == std::errc() && parsed.ptr == end && number >= 0 &&
+               number <= aMax
+             ? ""
+             : "\"" + aValue + "\" is not a number from 0 to " +
+                 std::to_string(aMax);
+  };
 }
 
-std::string
-SetFirstStart(S& aSettings, const std::string& aValue)
+Setter
+Boolean(bool S::*aMember)
 {
-  aSettings.mFirstStart = aValue == "true";
-  return aValue == "true" || aValue == "false"
-           ? ""
-           : "\"" + aValue + "\" is neither true nor false";
+  return [=](S& aSettings, const std::string& aValue) {
+    aSettings.*aMember = aValue == "true";
+    return aValue == "true" || aValue == "false"
+             ? ""
+             : "\"" + aValue + "\" is neither true nor false";
+  };
 }
 
 const std::vector<KeyRule<S>>&
@@ -75,7 +79,7 @@
     { { "node", "name", true }, Name(&S::mName) },
     { { "node", "data_centre", true }, Name(&S::mDataCentre) },
     { { "node", "region", true }, Name(&S::mRegion) },
-    { { "node", "first_start" }, SetFirstStart },
+    { { "node", "first_start" }, Boolean(&S::mFirstStart) },
     { { "listen", "caller", true }, Address(&S::mCallerAddress, true) },
     { { "listen", "admin", true }, Address(&S::mAdminAddress, true) },
     { { "listen", "readiness", true }, Address(&S::mReadinessAddress, true) },
@@ -86,7 +90,18 @@
     { { "target", "check_in_ms" }, Duration(&S::mCheckInPeriod, 10, 600'000) },
     { { "store", "address", true }, Address(&S::mStoreAddress, false) },
     { { "limits", "grace_ms" }, Duration(&S::mGracePeriod, 0, 600'000) },
-    { { "limits", "repeat_share" }, SetMaxRetryFraction },
+    { { "limits", "repeat_share" }, NumberUpTo(&S::mMaxRetryFraction, 1) },
+    { { "limits", "cold_factor" }, NumberUpTo(&S::mColdFactor, 100) },
+    { { "limits", "cold_slack" }, NumberUpTo(&S::mColdSlack, 100'000) },
+    { { "limits", "evacuation_ms" },
+      Duration(&S::mEvacuationLimit, 0, 600'000) },
+    { { "limits", "quota_window_ms" },
+      Duration(&S::mQuotaWindow, 100, 600'000) },
+    { { "limits", "quota_excess" }, NumberUpTo(&S::mQuotaExcess, 10) },
+    { { "limits", "quota_slack" }, NumberUpTo(&S::mQuotaSlack, 100'000) },
+    { { "limits", "strict_revocation" }, Boolean(&S::mStrictRevocation) },
+    { { "limits", "revocation_ms" },
+      Duration(&S::mRevocationLimit, 0, 600'000) },
   };
   return rules;
 }
--- a/libs/config/tests/SidecarSettingsTest.cpp
+++ b/libs/config/tests/SidecarSettingsTest.cpp
@@ -34,7 +34,9 @@
                                              "first_start = maybe\n"
                                              "odd = 1\n"
                                              "[limits]\n"
-                                             "repeat_share = 2\n",
+                                             "repeat_share = 2\n"
+                                             "quota_window_ms = 10\n"
+                                             "strict_revocation = 1\n",
                                              "x.ini");
   ASSERT_FALSE(settings);
   const std::string text = ToString(settings.error());
@@ -42,6 +44,8 @@
                             "x.ini:3: [node] first_start",
                             "x.ini:4: [node] odd: unknown key",
                             "x.ini:6: [limits] repeat_share",
+                            "x.ini:7: [limits] quota_window_ms",
+                            "x.ini:8: [limits] strict_revocation",
                             "[store] address: the key is missing" }) {
     EXPECT_NE(text.find(part), std::string::npos) << part << "\n" << text;
   }
--- a/libs/gateway/include/gateway/DesiredState.h
+++ b/libs/gateway/include/gateway/DesiredState.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,10 @@
   int mMaxAttempts = 1;
   /** 0 is the most urgent. */
   int mPriority = 0;
+  /** The regions in which a request may run; empty if it may run anywhere. */
+  std::vector<std::string> mAllowedRegions;
+  /** Whether requests need no key although there are tenants. */
+  bool mPublic = false;
 
   bool operator==(const RouteRule&) const = default;
 };
@@ -46,10 +51,33 @@
   std::string mName;
   /** How many connections one target accepts. */
   int mMaxConnections = 100;
+  /** How long a target is cold after its start. */
+  Millis mColdPeriod;
+  /** How many requests a second a cold target tolerates; 0 if there is no
+   *  limit. */
+  double mColdRequestsPerSecond = 0;
 
   bool operator==(const ServiceRule&) const = default;
 };
 
+/** A customer whose callers identify themselves by keys. */
+struct Tenant
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+  /** Takes precedence over the priority of routes; 0 is the most urgent. */
+  std::optional<int> mPriority;
+  /** The usage cap over all nodes; 0 if there is no limit. */
+  double mRequestsPerSecond = 0;
+  /** How many requests may exceed the rate at once. */
+  double mBurst = 0;
+  /** The regions in which requests of the tenant may run; empty if they may run
+   *  anywhere. */
+  std::vector<std::string> mAllowedRegions;
+
+  bool operator==(const Tenant&) const = default;
+};
+
 /** Limits on the size of requests and on the time that callers take. */
 struct RequestLimits
 {
@@ -71,6 +99,9 @@
   /** By host name. */
   std::map<std::string, std::vector<RouteRule>> mHosts;
   std::map<std::string, ServiceRule> mServices;
+  /** If not empty, requests need the key of a tenant, except on public rules.
+   */
+  std::vector<Tenant> mTenants;
   RequestLimits mLimits;
 
   bool operator==(const DesiredState&) const = default;
--- a/libs/gateway/include/gateway/TargetChoice.h
+++ b/libs/gateway/include/gateway/TargetChoice.h
@@ -31,6 +31,11 @@
   Millis mMeanRunTime{ 150 };
   /** The fraction of its recent requests that did not fail, 0 to 1. */
   double mSuccessRate = 1;
+  /** How many requests a second the target's node admits now, if it limits
+   *  them. */
+  std::optional<double> mAdmissionRate;
+  /** How many times longer than usual work takes at the target now. */
+  double mSlowdown = 1;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -51,6 +51,10 @@
   Millis mObjectiveLeft;
   int mPriority = 0;
   bool mIdempotent = false;
+  /** The tenant of the caller; empty if there is none. */
+  std::string mTenant;
+  /** Whether a target made the call while it served another request. */
+  bool mNestedCall = false;
 
   bool operator==(const CallMessage&) const = default;
 };
--- a/libs/sidecar/include/sidecar/PlatformProtocol.h
+++ b/libs/sidecar/include/sidecar/PlatformProtocol.h
@@ -46,6 +46,12 @@
   /** The target's running requests, waiting requests and slots, separated by
    *  commas. */
   std::string mLoad;
+  /** The key of the caller's tenant. */
+  std::string mCredential;
+  /** The name of the caller's tenant, set by the entry node. */
+  std::string mTenant;
+  /** How many milliseconds the target stays cold. */
+  std::string mColdLeft;
 };
 
 /** The operations that the platform and targets call on a node. */
@@ -78,6 +84,8 @@
   std::string mDesiredStateKey;
   /** The key prefix of rows with rollout orders. */
   std::string mRolloutPrefix;
+  /** The key prefix of rows that evacuate a data centre. */
+  std::string mEvacuationPrefix;
   /** The table from which the operator reads the status of rollouts. */
   std::string mResultsTable;
 };
@@ -88,6 +96,9 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 0;
+  /** How many times longer than usual work takes now, if the target reports
+   *  it. */
+  std::optional<double> mSlowdown;
 
   bool operator==(const TargetReport&) const = default;
 };
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -98,21 +98,35 @@
 json
 ToJson(const TargetLoad& aLoad)
 {
-  return { aLoad.mSlots,
-           aLoad.mRunning,
-           aLoad.mWaiting,
-           aLoad.mMeanRunTime.WholeMillis(),
-           static_cast<int>(aLoad.mSuccessRate * kFractionUnits) };
+  json list = { aLoad.mSlots,
+                aLoad.mRunning,
+                aLoad.mWaiting,
+                aLoad.mMeanRunTime.WholeMillis(),
+                static_cast<int>(aLoad.mSuccessRate * kFractionUnits) };
+  if (aLoad.mAdmissionRate || aLoad.mSlowdown != 1) {
+    list.push_back(static_cast<int>(aLoad.mSlowdown * kFractionUnits));
+  }
+  if (aLoad.mAdmissionRate) {
+    list.push_back(static_cast<int>(*aLoad.mAdmissionRate * kFractionUnits));
+  }
+  return list;
 }
 
 TargetLoad
 LoadFromJson(const json& aList)
 {
-  return { .mSlots = aList.at(0).get<int>(),
-           .mRunning = aList.at(1).get<int>(),
-           .mWaiting = aList.at(2).get<int>(),
-           .mMeanRunTime = Millis{ aList.at(3).get<double>() },
-           .mSuccessRate = aList.at(4).get<double>() / kFractionUnits };
+  TargetLoad load{ .mSlots = aList.at(0).get<int>(),
+                   .mRunning = aList.at(1).get<int>(),
+                   .mWaiting = aList.at(2).get<int>(),
+                   .mMeanRunTime = Millis{ aList.at(3).get<double>() },
+                   .mSuccessRate = aList.at(4).get<double>() / kFractionUnits };
+  if (aList.size() > 5) {
+    load.mSlowdown = aList.at(5).get<double>() / kFractionUnits;
+  }
+  if (aList.size() > 6) {
+    load.mAdmissionRate = aList.at(6).get<double>() / kFractionUnits;
+  }
+  return load;
 }
 
 json
@@ -224,21 +238,28 @@
 json
 ToJson(const CallMessage& aCall)
 {
-  return { MessageType::Call,
-           aCall.mId,
-           aCall.mRequestId,
-           aCall.mService,
-           static_cast<int>(aCall.mVersionRule),
-           aCall.mVersion,
-           aCall.mRoute,
-           aCall.mMethod,
-           BinaryToJson(aCall.mTarget),
-           ToJson(aCall.mHeaders),
-           BinaryToJson(aCall.mBody),
-           aCall.mTimeLeft.WholeMillis(),
-           aCall.mObjectiveLeft.WholeMillis(),
-           aCall.mPriority,
-           aCall.mIdempotent };
+  json list = { MessageType::Call,
+                aCall.mId,
+                aCall.mRequestId,
+                aCall.mService,
+                static_cast<int>(aCall.mVersionRule),
+                aCall.mVersion,
+                aCall.mRoute,
+                aCall.mMethod,
+                BinaryToJson(aCall.mTarget),
+                ToJson(aCall.mHeaders),
+                BinaryToJson(aCall.mBody),
+                aCall.mTimeLeft.WholeMillis(),
+                aCall.mObjectiveLeft.WholeMillis(),
+                aCall.mPriority,
+                aCall.mIdempotent };
+  if (!aCall.mTenant.empty() || aCall.mNestedCall) {
+    list.push_back(aCall.mTenant);
+  }
+  if (aCall.mNestedCall) {
+    list.push_back(true);
+  }
+  return list;
 }
 
 CallMessage
@@ -257,7 +278,10 @@
            .mTimeLeft = Millis{ aList.at(11).get<double>() },
            .mObjectiveLeft = Millis{ aList.at(12).get<double>() },
            .mPriority = aList.at(13).get<int>(),
-           .mIdempotent = aList.at(14).get<bool>() };
+           .mIdempotent = aList.at(14).get<bool>(),
+           .mTenant = aList.size() > 15 ? aList.at(15).get<std::string>()
+                                        : std::string(),
+           .mNestedCall = aList.size() > 16 && aList.at(16).get<bool>() };
 }
 
 json
