Report a crash of a target at each tick instead of every 250 ms

Cause: the test CrashIsCountedIfTheRequestWasCancelledBefore waits 0.5 s after the second crash. The next process checks in 0.3 s after it, and the crash was reported with the next load check, up to 250 ms plus the settle time later. In a failing run (1 of 6 beside builds) the check-in came at 614,874 ms, the third crash request was sent 2 ms before the report at 615,084 ms and crashed the target a third time. A slow machine is not needed; the two periods are.

Ruled out: lost evidence; both reports were made and counted by both nodes.

--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -82,10 +82,12 @@
   ApplyPendingState(now);
   mMesh.Tick(now);
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
+  // At each tick: until a crash is reported, its request can crash the next
+  // process of the target.
+  mCrashes.OnTick(now, WallNow());
   if (now - mLastLoadCheck >= kLoadPeriod) {
     mLastLoadCheck = now;
     UpdateFollowerRole(now);
-    mCrashes.OnTick(now, WallNow());
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
