Keep a rolled-back version out when the next version is ordered

Cause: RolloutAgent keeps one order and one progress for each service.

Change: the progress of a rollout lists the versions that earlier orders rolled back. Nodes choose no target of a withdrawn version, and the node of such a target refuses its requests, until the operator orders the version again. The list is part of the row in the store, so that a restarted node knows it.

--- a/libs/gateway/include/gateway/Rollout.h
+++ b/libs/gateway/include/gateway/Rollout.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <base/Millis.h>
 
@@ -49,9 +51,16 @@
   Millis mStageStarted;
   /** Why the last change was made, as text for operators. */
   std::string mReason;
+  /** Versions that earlier orders of the service rolled back, the newest last.
+   *  Kept here so that a node that restarts knows them. */
+  std::vector<std::string> mWithdrawnVersions;
 
   bool operator==(const RolloutProgress&) const = default;
 
+  /** @return whether the version was rolled back and gets no requests until it
+   *    is ordered again. */
+  [[nodiscard]] bool IsWithdrawn(std::string_view aVersion) const;
+
   /** @return whether this progress replaces aOther: it belongs to a newer
    *    order, has ended while aOther is running, or is at a later stage. A
    *    rollout that has ended does not run again, so a rollback also replaces a
@@ -59,6 +68,10 @@
   [[nodiscard]] bool Supersedes(const RolloutProgress& aOther) const;
 };
 
+/** How many rolled-back versions of a service are remembered. Their targets are
+ *  stopped within seconds, so that few exist at a time. */
+inline constexpr std::size_t kMaxWithdrawnVersions = 8;
+
 /** The share of a service's requests that the new version gets, by stage. */
 inline constexpr std::array<double, 4> kStageShares = { 0.04, 0.1, 0.4, 1 };
 
--- a/libs/gateway/src/Rollout.cpp
+++ b/libs/gateway/src/Rollout.cpp
@@ -80,8 +80,36 @@
     });
 }
 
+/** @return the versions that stay withdrawn when the order takes effect. */
+std::vector<std::string>
+WithdrawnVersions(const std::optional<RolloutProgress>& aBefore,
+                  const RolloutOrder& aOrder)
+{
+  if (!aBefore) {
+    return {};
+  }
+  std::vector<std::string> versions = aBefore->mWithdrawnVersions;
+  if (aBefore->mState == RolloutState::RolledBack) {
+    versions.push_back(aBefore->mVersion);
+  }
+  std::erase(versions, aOrder.mVersion);
+  if (versions.size() > kMaxWithdrawnVersions) {
+    versions.erase(versions.begin());
+  }
+  return versions;
+}
+
 } // namespace
 
+bool
+RolloutProgress::IsWithdrawn(std::string_view aVersion) const
+{
+  return (mState == RolloutState::RolledBack && mVersion == aVersion) ||
+         std::find(mWithdrawnVersions.begin(),
+                   mWithdrawnVersions.end(),
+                   aVersion) != mWithdrawnVersions.end();
+}
+
 bool
 RolloutProgress::Supersedes(const RolloutProgress& aOther) const
 {
@@ -194,7 +222,9 @@
                             .mOrderVersion = aOrder.mOrderVersion,
                             .mStarted = aView.mNow,
                             .mStageStarted = aView.mNow,
-                            .mReason = "ordered" };
+                            .mReason = "ordered",
+                            .mWithdrawnVersions =
+                              WithdrawnVersions(aView.mProgress, aOrder) };
   }
   RolloutProgress next = *aView.mProgress;
   if (next.mState != RolloutState::Running) {
--- a/libs/gateway/tests/RolloutTest.cpp
+++ b/libs/gateway/tests/RolloutTest.cpp
@@ -183,5 +183,39 @@
   EXPECT_FALSE(rolledBack.Supersedes(newer));
 }
 
+// Guards against requests for a rolled-back version once the next version is
+// ordered: its targets are still running then.
+TEST(Rollout, RolledBackVersionStaysOutAfterTheNextOrder)
+{
+  RolloutProgress progress = ProgressAtStage(1, {});
+  progress.mState = RolloutState::RolledBack;
+  EXPECT_TRUE(progress.IsWithdrawn("v2"));
+  RolloutOrder order = kOrder;
+  for (int version = 3; version < 20; ++version) {
+    ++order.mOrderVersion;
+    order.mVersion = "v" + std::to_string(version);
+    const auto next = NextStep(
+      order, { .mProgress = progress }, EvidenceAggregator(), RolloutPolicy());
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(next->IsWithdrawn(progress.mVersion)) << version;
+    EXPECT_FALSE(next->IsWithdrawn(order.mVersion)) << version;
+    EXPECT_LE(next->mWithdrawnVersions.size(), kMaxWithdrawnVersions);
+    progress = *next;
+    progress.mState = RolloutState::RolledBack;
+  }
+}
+
+TEST(Rollout, WithdrawnVersionThatIsOrderedAgainGetsRequests)
+{
+  RolloutProgress progress = ProgressAtStage(1, {});
+  progress.mState = RolloutState::RolledBack;
+  RolloutOrder order = kOrder;
+  ++order.mOrderVersion;
+  const auto next = NextStep(
+    order, { .mProgress = progress }, EvidenceAggregator(), RolloutPolicy());
+  ASSERT_TRUE(next);
+  EXPECT_FALSE(next->IsWithdrawn("v2"));
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/sidecar/include/sidecar/RolloutAgent.h
+++ b/libs/sidecar/include/sidecar/RolloutAgent.h
@@ -81,6 +81,10 @@
   /** @return whether the target's version may receive any requests. */
   [[nodiscard]] bool TakesRequests(const gateway::TargetInfo& aTarget) const;
 
+  /** @return whether the version of the target was rolled back and is not
+   *    ordered again, so that it gets no requests, whichever order follows. */
+  [[nodiscard]] bool IsWithdrawn(const gateway::TargetInfo& aTarget) const;
+
 private:
   struct Rollout
   {
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -171,14 +171,18 @@
 json
 ToJson(const RolloutProgress& aProgress)
 {
-  return { aProgress.mService,
-           aProgress.mVersion,
-           aProgress.mOrderVersion,
-           static_cast<int>(aProgress.mState),
-           aProgress.mStage,
-           aProgress.mStarted.mCount,
-           aProgress.mStageStarted.mCount,
-           aProgress.mReason };
+  json list = { aProgress.mService,
+                aProgress.mVersion,
+                aProgress.mOrderVersion,
+                static_cast<int>(aProgress.mState),
+                aProgress.mStage,
+                aProgress.mStarted.mCount,
+                aProgress.mStageStarted.mCount,
+                aProgress.mReason };
+  if (!aProgress.mWithdrawnVersions.empty()) {
+    list.push_back(aProgress.mWithdrawnVersions);
+  }
+  return list;
 }
 
 RolloutProgress
@@ -194,6 +198,12 @@
                             .mStageStarted =
                               Millis{ aList.at(6).get<double>() },
                             .mReason = aList.at(7).get<std::string>() };
+  if (aList.size() > 8) {
+    progress.mWithdrawnVersions = aList.at(8).get<std::vector<std::string>>();
+    if (progress.mWithdrawnVersions.size() > gateway::kMaxWithdrawnVersions) {
+      progress.mWithdrawnVersions.resize(gateway::kMaxWithdrawnVersions);
+    }
+  }
   if (progress.mStage >= gateway::kStageShares.size()) {
     progress.mStage = gateway::kStageShares.size() - 1;
   }
--- a/libs/sidecar/src/RolloutAgent.cpp
+++ b/libs/sidecar/src/RolloutAgent.cpp
@@ -1,5 +1,6 @@
 #include <sidecar/RolloutAgent.h>
 
+#include <tuple>
 #include <utility>
 
 namespace papayaway::sidecar {
@@ -237,6 +238,21 @@
   return { .mRule = VersionRule::AllBut, .mVersion = progress.mVersion };
 }
 
+bool
+RolloutAgent::IsWithdrawn(const gateway::TargetInfo& aTarget) const
+{
+  const auto found = mRollouts.find(aTarget.mService);
+  if (found == mRollouts.end() || !found->second.mProgress) {
+    return false;
+  }
+  const auto& [order, progress] =
+    std::tie(found->second.mOrder, *found->second.mProgress);
+  const bool orderedAgain = order &&
+                            order->mOrderVersion > progress.mOrderVersion &&
+                            order->mVersion == aTarget.mVersion;
+  return !orderedAgain && progress.IsWithdrawn(aTarget.mVersion);
+}
+
 bool
 RolloutAgent::TakesRequests(const gateway::TargetInfo& aTarget) const
 {
@@ -244,6 +260,9 @@
   if (found == mRollouts.end() || !found->second.mProgress) {
     return true;
   }
+  if (IsWithdrawn(aTarget)) {
+    return false;
+  }
   const RolloutProgress& progress = *found->second.mProgress;
   const bool isNew = aTarget.mVersion == progress.mVersion;
   switch (progress.mState) {
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -54,6 +54,9 @@
                                std::optional<Millis> aLoadReceivedAt,
                                Millis aNow) const
 {
+  if (aRecord.mTarget && mRollouts.IsWithdrawn(*aRecord.mTarget)) {
+    return false;
+  }
   const std::string& node = aRecord.mNode;
   // Links to other data centres are opened on demand, so a missing link does
   // not make a node there unusable.
