--- a/libs/gateway/include/gateway/LoadReportFilter.h
+++ b/libs/gateway/include/gateway/LoadReportFilter.h
@@ -22,6 +22,9 @@
   /** A change of the mean run time is reported if it rises or falls by at least
    *  this factor. */
   double mRunTimeFactor = 1.25;
+  /** The smallest change of the admission rate that is reported, as a fraction
+   *  of the rate. The start and the end of a limit are always reported. */
+  double mAdmissionRateStep = 0.25;
   /** The longest time between two reports; the load is reported again after it,
    *  even if unchanged. */
   Millis mMaxInterval{ 1000 };
--- a/libs/gateway/src/LoadReportFilter.cpp
+++ b/libs/gateway/src/LoadReportFilter.cpp
@@ -34,6 +34,12 @@
       mOptions.mSuccessRateStep) {
     return true;
   }
+  const auto lastRate = mLastReport->mAdmissionRate;
+  if (aLoad.mAdmissionRate.has_value() != lastRate.has_value() ||
+      (lastRate && std::abs(*aLoad.mAdmissionRate - *lastRate) >
+                     *lastRate * mOptions.mAdmissionRateStep)) {
+    return true;
+  }
   return aLoad.mMeanRunTime >=
            mLastReport->mMeanRunTime * mOptions.mRunTimeFactor ||
          mLastReport->mMeanRunTime >=
--- a/libs/gateway/tests/LoadReportFilterTest.cpp
+++ b/libs/gateway/tests/LoadReportFilterTest.cpp
@@ -65,5 +65,21 @@
   EXPECT_TRUE(filter.ShouldReport(load, Millis{ 1 }));
 }
 
+// Guards against entry nodes that flood a target that has become cold, or that
+// avoid it when it is warm again, until the next periodic report.
+TEST(LoadReportFilter, StartAndEndOfALimitAreReportedAtOnce)
+{
+  LoadReportFilter filter = AfterReportOf(kLowLoad);
+  TargetLoad limited = kLowLoad;
+  limited.mAdmissionRate = 15;
+  EXPECT_TRUE(filter.ShouldReport(limited, Millis{ 1 }));
+  filter.OnReported(limited, Millis{ 1 });
+  limited.mAdmissionRate = 13;
+  EXPECT_FALSE(filter.ShouldReport(limited, Millis{ 2 }));
+  limited.mAdmissionRate = 10;
+  EXPECT_TRUE(filter.ShouldReport(limited, Millis{ 2 }));
+  EXPECT_TRUE(filter.ShouldReport(kLowLoad, Millis{ 2 }));
+}
+
 } // namespace
 } // namespace papayaway::gateway
