Limit the requests to cold targets

37 requests in one second reached a cold target of the auctions, where 30.5 are allowed, because nodes ignored cold_per_s. The target's node now hands back what is above the rate, counts a lost process as cold until the next one checks in, and tells the rate with its load.

--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include <base/Millis.h>
+#include <gateway/ColdRateLimiter.h>
+#include <gateway/DesiredState.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
 #include <http/ConnectProbe.h>
@@ -63,6 +65,7 @@
   std::string mAddress;
   /** The service that the local target must serve. */
   std::string mService;
+  gateway::ColdRateOptions mColdRate;
 };
 
 /**
@@ -95,6 +98,13 @@
    *  @return whether the check-in may be acknowledged. */
   [[nodiscard]] bool OnCheckIn(const CheckIn& aCheckIn);
 
+  /** Applies the rule of the desired state for the service.
+   *  @param aRule nullptr if the desired state does not have the service. */
+  void SetServiceRule(const gateway::ServiceRule* aRule)
+  {
+    mColdLimiter.SetRate(aRule == nullptr ? 0 : aRule->mColdRequestsPerSecond);
+  }
+
   /** Handles the announcement that the target leaves, also one that an earlier
    *  process of this node has received. From then on, check-ins that this
    *  target process sends are ignored. */
@@ -167,6 +177,8 @@
   /** Compares the target's reported load with the requests open at it, to
    *  find requests that the target has ended without a response arriving. */
   void OnLoadReport(const TargetReport& aReport);
+  /** Applies the time for which a response says that the target is cold. */
+  void OnColdHeader(const HttpHeaders& aHeaders);
   /** @return the factor by which the target currently appears slower than
    *    usual, judged by the ages of the requests open at it. */
   [[nodiscard]] double Slowdown() const;
@@ -192,6 +204,7 @@
   std::uint64_t mSequence = 0;
   /** The end of the target's cold-start period. */
   Millis mColdUntil;
+  gateway::ColdRateLimiter mColdLimiter;
   /** The ids of targets that have left, with the wall-clock time of the
    *  announcement. */
   std::map<std::string, Millis> mLeftTargets;
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -41,6 +41,10 @@
    *  @param aState the state of the call that was cancelled. */
   void OnCancelled(const std::string& aState);
 
+  /** Counts a call that the node of the target handed back because it limits
+   *  what the target gets, by the limit. */
+  void OnHandedBack(const std::string& aReason);
+
   /** Counts a check-in by what became of it. */
   void OnCheckIn(const std::string& aOutcome);
 
@@ -57,6 +61,7 @@
   prometheus::Family<prometheus::Counter>& mCancelled;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mCheckIns;
+  prometheus::Family<prometheus::Counter>& mHandedBack;
 
 public:
   prometheus::Histogram& mRunTimes;
@@ -71,6 +76,7 @@
   prometheus::Counter& mLoopDelays;
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
+  prometheus::Gauge& mAdmissionRate;
   prometheus::Gauge& mCallerConnections;
   prometheus::Gauge& mLinks;
   prometheus::Gauge& mStateVersion;
--- a/libs/sidecar/include/sidecar/TargetDirectory.h
+++ b/libs/sidecar/include/sidecar/TargetDirectory.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <gateway/DesiredState.h>
 #include <gateway/NodeDirectory.h>
 #include <gateway/TargetChoice.h>
 #include <sidecar/PeerMessages.h>
@@ -44,6 +45,11 @@
   {
   }
 
+  /** Sets how many requests a second a target of each service gets until its
+   *  node has reported a load, where the service limits cold targets. */
+  void SetServiceRules(
+    const std::map<std::string, gateway::ServiceRule>& aRules);
+
   /** Adds or updates a node.
    *  @return whether the record was newer than the known one. */
   bool Merge(const gateway::NodeRecord& aRecord);
@@ -99,6 +105,8 @@
     mIsUsable;
   gateway::NodeDirectory mNodes;
   std::unordered_map<std::string, LoadEntry> mLoads;
+  /** The rates that cold targets tolerate, by service. */
+  std::map<std::string, double> mColdRates;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include <gateway/RateLimitedChoice.h>
 #include <http/HttpText.h>
 
 namespace papayaway::sidecar {
@@ -159,7 +160,7 @@
                                         .mRule = active.mVersion.mRule,
                                         .mVersion = active.mVersion.mVersion,
                                         .mExcluded = active.mExcluded });
-  const auto choice = gateway::ChooseTarget(
+  const auto choice = gateway::ChooseWithinRates(
     candidates,
     { .mObjectiveLeft = active.mArrivedAt + active.mRule->mObjective - now,
       .mRunTimeRatio = RunTimeRatio(active) },
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -40,6 +40,10 @@
 /** The shortest time between two probes. */
 constexpr Millis kProbeInterval = Seconds(1);
 
+/** The reason of a refusal because the target is cold and has got the requests
+ *  that it tolerates in a second. */
+constexpr const char* kColdRateReason = "cold_rate";
+
 /** @return when the process that checks in started, on the steady clock, or
  *    nothing if it does not say so. */
 std::optional<Millis>
@@ -86,6 +90,7 @@
             return aMessage.mHeaders.Value(aProtocol.Headers().mRequestId) ==
                    aId;
           } })
+  , mColdLimiter(mOptions.mColdRate, SteadyNow())
   , mDeadlineTimer(aLoop, [this] { OnDeadlineTimer(); })
   , mQueueTimer(aLoop,
                 [this] {
@@ -132,6 +137,17 @@
   }
   mSequence = aCheckIn.mSequence;
   mColdUntil = SteadyNow() + aCheckIn.mColdLeft;
+  const bool wasLimited = mColdLimiter.IsLimited(SteadyNow());
+  mColdLimiter.OnReport(aCheckIn.mColdLeft, known && !same, SteadyNow());
+  const bool limited = mColdLimiter.IsLimited(SteadyNow());
+  if (limited != wasLimited &&
+      mLog.ShouldWrite("cold_limit", Category::Failure)) {
+    mLog.Write("target",
+               "cold_limit",
+               { { "target", aCheckIn.mTarget.mId },
+                 { "limited", limited },
+                 { "cold_left_ms", aCheckIn.mColdLeft.WholeMillis() } });
+  }
   // A target that has announced that it leaves stays draining until it
   // restarts.
   const bool wasLeaving = same && mTarget->mState == TargetState::Draining;
@@ -202,6 +218,7 @@
 void
 LocalTargetProxy::OnRefusedConnection(const char* aReason)
 {
+  mColdLimiter.OnProcessLost(SteadyNow());
   mHandlers.mTargetEnded(std::nullopt);
   // A target that leaves stays draining, because check-ins that it sent before
   // may still arrive.
@@ -288,6 +305,9 @@
   if (mHandlers.mIsQuarantined(aCall)) {
     return "quarantined";
   }
+  if (!mColdLimiter.MayAdmit(SteadyNow())) {
+    return kColdRateReason;
+  }
   return nullptr;
 }
 
@@ -340,10 +360,17 @@
 void
 LocalTargetProxy::Start(CallId aId)
 {
+  const Millis now = SteadyNow();
+  if (!mColdLimiter.MayAdmit(now)) {
+    // The target became cold, or others were started, while the call waited.
+    Refuse(aId, kColdRateReason);
+    FreeSlot();
+    return;
+  }
+  mColdLimiter.OnSent(now);
   ActiveCall& active = mActiveCalls.at(aId);
   const CallMessage& call = active.mCall;
   const HeaderNames& names = mProtocol.Headers();
-  const Millis now = SteadyNow();
   const Millis timeLeft = std::max(kMinTimeLeft, active.mDeadline - now);
   TargetRequest request{ .mAddress = mOptions.mAddress,
                          .mMessage = { .mMethod = call.mMethod,
@@ -399,16 +426,20 @@
     reply.mOutcome = CallOutcome::NotRun;
     reply.mReachedTarget = false;
     reply.mReason = "target_refused_connection";
+    mColdLimiter.OnNotCounted(active.mStartedAt);
     OnRefusedConnection("refused a connection");
   } else if (aResult.mOutcome == TargetOutcome::ConnectionLost) {
     reply.mOutcome = CallOutcome::Unknown;
     reply.mReason = "target_connection_lost";
     mHandlers.mCallLost(active.mCall);
+    mColdLimiter.OnProcessLost(now);
     ScheduleProbe();
     mSuccessRate *= 1 - kSuccessWeight;
   } else if (response.mStatus == 421) {
     reply.mOutcome = CallOutcome::NotRun;
     reply.mReason = "another_target";
+    mColdLimiter.OnNotCounted(active.mStartedAt);
+    mColdLimiter.OnProcessLost(now);
     LogReplaced("rejected a request for its predecessor");
     mHandlers.mTargetEnded(std::nullopt);
     if (mTarget->mState == TargetState::Ready) {
@@ -425,6 +456,9 @@
     reply.mStatus = response.mStatus;
     reply.mHeaders = EndToEndHeaders(response.mHeaders);
     reply.mHeaders.Remove(mProtocol.Headers().mLoad);
+    if (mColdLimiter.HasRate()) {
+      reply.mHeaders.Remove(mProtocol.Headers().mColdLeft);
+    }
     mLastResponseAt = now;
     mHandlers.mAnswered(active.mCall, active.mStartedAt);
     RecordRun(active, response.mStatus, time);
@@ -451,6 +485,7 @@
         { "reused_connection", aResult.mReusedConnection } });
   }
   const auto report = mProtocol.DecodeLoad(response.mHeaders);
+  OnColdHeader(response.mHeaders);
   Finish(aId, std::move(reply));
   FreeSlot();
   if (report) {
@@ -486,6 +521,13 @@
                       .mRetryAfter = mQueue.ExpectedWait(
                         active.mCall.mPriority,
                         mRunTimes.Mean(active.mCall.mRoute)) };
+  if (aReason == kColdRateReason) {
+    const Millis now = SteadyNow();
+    mColdLimiter.OnHandedBack(now);
+    mMetrics.OnHandedBack(aReason);
+    reply.mRetryAfter =
+      std::max(reply.mRetryAfter, mColdLimiter.TimeToAdmission(now));
+  }
   Finish(aId, std::move(reply));
 }
 
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -1,7 +1,9 @@
 #include <sidecar/LocalTargetProxy.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
+#include <string_view>
 #include <vector>
 
 namespace papayaway::sidecar {
@@ -18,6 +20,9 @@
  *  again. */
 constexpr Millis kDecayHalfLife = Seconds(3);
 
+/** The longest time for which a target may say that it is cold. */
+constexpr Millis kMaxColdTime = Seconds(3600);
+
 } // namespace
 
 void
@@ -37,6 +42,24 @@
   Apply(mQueue.SetLostResponses(lost, now));
 }
 
+void
+LocalTargetProxy::OnColdHeader(const HttpHeaders& aHeaders)
+{
+  const std::string_view text = aHeaders.Value(mProtocol.Headers().mColdLeft);
+  std::uint32_t millis = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, millis);
+  if (text.empty()) {
+    return;
+  }
+  if (parsed.ec != std::errc() || parsed.ptr != end ||
+      Millis{ static_cast<double>(millis) } > kMaxColdTime) {
+    mMetrics.mBadInput.Increment();
+    return;
+  }
+  mColdLimiter.OnResponse(Millis{ static_cast<double>(millis) }, SteadyNow());
+}
+
 double
 LocalTargetProxy::Slowdown() const
 {
@@ -60,7 +83,8 @@
            .mWaiting = mQueue.Waiting(),
            .mMeanRunTime =
              mRunTimes.OverallMean() * (0.5 + 0.5 * decay) * Slowdown(),
-           .mSuccessRate = 1 - (1 - mSuccessRate) * decay };
+           .mSuccessRate = 1 - (1 - mSuccessRate) * decay,
+           .mAdmissionRate = mColdLimiter.AdvisedRate(SteadyNow()) };
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -155,6 +155,8 @@
    *  @param aSource where it came from, for the log.
    *  @return whether it was put in force. */
   bool ApplyState(const std::string& aText, const char* aSource);
+  /** Passes the rules of the services on to those that apply them. */
+  void ApplyServiceRules(const gateway::DesiredState& aState);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -77,6 +77,9 @@
   , mCheckIns(CounterFamily(mRegistry,
                             "papayaway_check_ins_total",
                             "Check-ins by what became of them"))
+  , mHandedBack(CounterFamily(mRegistry,
+                              "papayaway_handed_back_total",
+                              "Calls handed back by a limit of the target"))
   , mRunTimes(HistogramFamily(mRegistry,
                               "papayaway_run_milliseconds",
                               "Time of requests at the local target")
@@ -115,6 +118,10 @@
   , mWaiting(Gauge(mRegistry,
                    "papayaway_waiting",
                    "Requests waiting for a slot of the local target"))
+  , mAdmissionRate(Gauge(mRegistry,
+                         "papayaway_admission_rate",
+                         "Requests a second admitted by the local target's "
+                         "node, -1 without a limit"))
   , mCallerConnections(Gauge(mRegistry,
                              "papayaway_caller_connections",
                              "Open connections of callers"))
@@ -172,6 +179,12 @@
   mCancelled.Add({ { "state", aState } }).Increment();
 }
 
+void
+SidecarMetrics::OnHandedBack(const std::string& aReason)
+{
+  mHandedBack.Add({ { "reason", aReason } }).Increment();
+}
+
 void
 SidecarMetrics::OnCheckIn(const std::string& aOutcome)
 {
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -59,6 +59,15 @@
   ApplyState(row->second.mValue, std::exchange(mPendingStateSource, nullptr));
 }
 
+void
+Sidecar::Impl::ApplyServiceRules(const gateway::DesiredState& aState)
+{
+  const auto own = aState.mServices.find(mSettings.mService);
+  mLocalTarget.SetServiceRule(own == aState.mServices.end() ? nullptr
+                                                            : &own->second);
+  mTargets.SetServiceRules(aState.mServices);
+}
+
 bool
 Sidecar::Impl::ApplyState(const std::string& aText, const char* aSource)
 {
@@ -81,6 +90,7 @@
   mRoutingTable = std::make_shared<gateway::RoutingTable>(*state);
   mStateAppliedAt = SteadyNow();
   mDispatcher.SetRoutingTable(mRoutingTable);
+  ApplyServiceRules(*state);
   const gateway::RequestLimits& limits = state->mLimits;
   mCallerServer->SetLimits(
     { .mSizes = { .mMaxHeaderBytes = limits.mMaxHeaderBytes,
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -94,6 +94,7 @@
     const gateway::TargetLoad load = mLocalTarget.Load();
     mMetrics.mRunning.Set(load.mRunning);
     mMetrics.mWaiting.Set(load.mWaiting);
+    mMetrics.mAdmissionRate.Set(load.mAdmissionRate.value_or(-1));
     mMetrics.mCallerConnections.Set(
       static_cast<double>(mCallerServer->Connections()));
     mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
--- a/libs/sidecar/src/TargetDirectory.cpp
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -33,6 +33,8 @@
   const NodeRecord* const old = mNodes.Find(aRecord.mNode);
   const std::string oldTarget =
     old != nullptr && old->mTarget ? old->mTarget->mId : "";
+  const bool wasReady = old != nullptr && old->mTarget &&
+                        old->mTarget->mState == TargetState::Ready;
   if (!mNodes.Merge(aRecord)) {
     return false;
   }
@@ -42,9 +44,27 @@
     entry.mLoad.mSlots = aRecord.mTarget ? aRecord.mTarget->mSlots : 1;
     mLoads[aRecord.mNode] = entry;
   }
+  const auto coldRate = aRecord.mTarget
+                          ? mColdRates.find(aRecord.mTarget->mService)
+                          : mColdRates.end();
+  if (coldRate != mColdRates.end() && (target != oldTarget || !wasReady)) {
+    mLoads[aRecord.mNode].mLoad.mAdmissionRate = coldRate->second;
+  }
   return true;
 }
 
+void
+TargetDirectory::SetServiceRules(
+  const std::map<std::string, gateway::ServiceRule>& aRules)
+{
+  mColdRates.clear();
+  for (const auto& [service, rule] : aRules) {
+    if (rule.mColdRequestsPerSecond > 0) {
+      mColdRates[service] = rule.mColdRequestsPerSecond;
+    }
+  }
+}
+
 void
 TargetDirectory::Remove(const std::string& aNode)
 {
