Decide where requests may run

Cause: routes and tenants may name the regions in which their requests may run, and an operator may evacuate a data centre; nothing decided by them.

Change: gateway/Placement.h intersects the lists of route and tenant, so that no common region allows nothing, and keeps the evacuated data centres as the set of one version of the store. Of two sets the later one replaces the other, so ends need no record and messages may be lost, repeated or reordered.

--- a/libs/gateway/include/gateway/RoutingTable.h
+++ b/libs/gateway/include/gateway/RoutingTable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <gateway/DesiredState.h>
+#include <gateway/Placement.h>
 
 namespace papayaway::gateway {
 
@@ -56,6 +57,9 @@
 
   [[nodiscard]] const DesiredState& State() const { return mState; }
 
+  /** @return the allowed regions of the routes and tenants. */
+  [[nodiscard]] const PlacementRules& Placements() const { return mPlacements; }
+
 private:
   struct StringHash
   {
@@ -70,6 +74,7 @@
     std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
   DesiredState mState;
+  PlacementRules mPlacements;
   /** By host name, then by path prefix. */
   StringMap<StringMap<std::unique_ptr<ActiveRule>>> mHosts;
 };
--- /dev/null
+++ b/libs/gateway/tests/PlacementTest.cpp
@@ -0,0 +1,122 @@
+#include <gateway/Placement.h>
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include <base/Random.h>
+
+namespace papayaway::gateway {
+namespace {
+
+// Guards against a request that reaches a region which its route or tenant does
+// not name, in particular against a route and a tenant without a common region
+// that are treated like an empty list. Load: deposit-lodge of the auctions.
+TEST(AllowedRegions, RouteAndTenantMustBothAllowARegion)
+{
+  const std::vector<std::string> regions = { "north", "south", "none" };
+  Random random(1);
+  const auto someRegions = [&] {
+    std::vector<std::string> some;
+    std::copy_if(regions.begin(),
+                 regions.end(),
+                 std::back_inserter(some),
+                 [&](const auto&) { return UniformBelow(random, 3) == 0; });
+    return some;
+  };
+  const auto allows = [](const std::vector<std::string>& aList,
+                         const std::string& aName) {
+    return aList.empty() || std::count(aList.begin(), aList.end(), aName) > 0;
+  };
+  for (int i = 0; i < 500; ++i) {
+    const RouteRule route{ .mName = "r", .mAllowedRegions = someRegions() };
+    const RouteRule twin{ .mName = "r", .mAllowedRegions = someRegions() };
+    const Tenant tenant{ .mName = "t", .mAllowedRegions = someRegions() };
+    const PlacementRules rules(
+      { .mHosts = { { "h", { route } } }, .mTenants = { tenant } });
+    const PlacementRules twins(
+      { .mHosts = { { "h", { route } }, { "i", { twin } } } });
+    for (const std::string& region : regions) {
+      const bool byRoute = allows(route.mAllowedRegions, region);
+      const bool byBoth = byRoute && allows(tenant.mAllowedRegions, region);
+      EXPECT_EQ(rules.For(route, "t").Allows(region), byBoth) << i;
+      EXPECT_EQ(rules.For("r", "t").Allows(region), byBoth) << i;
+      EXPECT_EQ(rules.For("r", "unknown").Allows(region), byRoute) << i;
+      EXPECT_EQ(twins.For("r", "").Allows(region),
+                byRoute || allows(twin.mAllowedRegions, region))
+        << i;
+    }
+  }
+}
+
+// Guards against an evacuation or its end that a node misses, undoes or brings
+// back. Two of six nodes read the store; messages are lost, repeated and
+// reordered, and nodes restart. Load: operators who evacuate and bring back
+// data centres while links and processes fail.
+TEST(EvacuationSet, NodesAgreeWithTheStoreAfterLostAndReorderedMessages)
+{
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    Random random(seed);
+    std::vector<Evacuations> versions(1);
+    std::vector<EvacuationChange> changes;
+    std::vector<EvacuationSet> nodes(6);
+    std::vector<std::uint64_t> followed(2);
+    std::vector<Evacuations> messages(1);
+    for (int step = 0; step < 200; ++step) {
+      const std::size_t node = UniformBelow(random, nodes.size());
+      const std::uint64_t action = UniformBelow(random, 51);
+      if (action < 10) {
+        const std::string name = "d" + std::to_string(UniformBelow(random, 3));
+        Evacuations next = versions.back();
+        ++next.mVersion;
+        const bool deleted = next.mDataCentres.erase(name) > 0;
+        if (!deleted) {
+          next.mDataCentres.insert(name);
+        }
+        changes.push_back({ name, next.mVersion, deleted });
+        versions.push_back(next);
+      } else if (action < 20 && node < followed.size()) {
+        std::vector<EvacuationChange> read(
+          changes.begin() + static_cast<std::ptrdiff_t>(followed[node]),
+          changes.end());
+        std::shuffle(read.begin(), read.end(), random);
+        followed[node] = changes.size();
+        nodes[node].ApplyChanges(followed[node], std::move(read));
+      } else if (action < 30) {
+        messages.push_back(nodes[node].Current());
+      } else if (action < 50) {
+        nodes[node].Replace(messages[UniformBelow(random, messages.size())]);
+      } else {
+        // A node that has restarted reads the whole table.
+        nodes[node] = {};
+        nodes[node].Replace(versions.back());
+      }
+      const Evacuations& current = nodes[node].Current();
+      ASSERT_EQ(current, versions.at(current.mVersion)) << seed;
+    }
+    nodes[0].Replace(versions.back());
+    for (EvacuationSet& node : nodes) {
+      const bool differs = node.Digest() != nodes[0].Digest();
+      EXPECT_EQ(node.Replace(nodes[0].Current()), differs) << seed;
+      EXPECT_EQ(node.Current().mDataCentres, versions.back().mDataCentres);
+    }
+  }
+}
+
+// Guards against repeated rows that count as changes, and against rows that
+// take unlimited memory.
+TEST(EvacuationSet, RepeatedAndOddRowsChangeNothing)
+{
+  EvacuationSet set;
+  EXPECT_TRUE(set.ApplyChanges(4, { { "d1", 4, false } }));
+  EXPECT_FALSE(set.ApplyChanges(
+    9, { { "d1", 5, false }, { "", 6, false }, { "d1", 3, true } }));
+  EXPECT_FALSE(set.ApplyChanges(10, { { std::string(256, 'x'), 10, false } }));
+  for (std::uint64_t version = 11; version < 400; ++version) {
+    set.ApplyChanges(version, { { std::to_string(version), version, false } });
+  }
+  EXPECT_EQ(set.Current().mDataCentres.size(), kMaxEvacuations);
+}
+
+} // namespace
+} // namespace papayaway::gateway
