Add the peer message with the evacuated data centres

Cause: nodes that do not read the store must learn of evacuations and their ends, and must notice that they have missed one.

Change: EvacuationsMessage carries the set and its store version, bounded to 256 names of 255 bytes; load messages carry a digest of the set unless it is empty, so that without evacuations the links carry the same bytes.

--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -9,6 +9,7 @@
 #include <base/Millis.h>
 #include <gateway/FollowerElection.h>
 #include <gateway/NodeRecord.h>
+#include <gateway/Placement.h>
 #include <gateway/Rollout.h>
 #include <gateway/TargetChoice.h>
 #include <gateway/TextDelta.h>
@@ -110,6 +111,9 @@
   /** Whether the sender follows the operator rows in the store, and whether
    *  that works. */
   gateway::FollowState mFollowState = gateway::FollowState::Idle;
+  /** The digest of the evacuations in force at the sender; 0 if there are
+   *  none. */
+  std::uint64_t mEvacuationDigest = 0;
 
   bool operator==(const LoadMessage&) const = default;
 };
@@ -200,6 +204,15 @@
   bool operator==(const QuarantineMessage&) const = default;
 };
 
+/** The evacuated data centres, sent when they change and to nodes that have
+ *  another set. */
+struct EvacuationsMessage
+{
+  gateway::Evacuations mEvacuations;
+
+  bool operator==(const EvacuationsMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -212,7 +225,8 @@
                                  OperatorRowMessage,
                                  CrashMessage,
                                  SuspectCompletedMessage,
-                                 QuarantineMessage>;
+                                 QuarantineMessage,
+                                 EvacuationsMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -39,6 +39,7 @@
   Crash,
   SuspectCompleted,
   Quarantine,
+  Evacuations,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -351,6 +352,24 @@
   return delta;
 }
 
+EvacuationsMessage
+EvacuationsFromJson(const json& aList)
+{
+  EvacuationsMessage message{ { .mVersion =
+                                  aList.at(1).get<std::uint64_t>() } };
+  for (const json& entry : aList.at(2)) {
+    const auto& name = entry.get_ref<const std::string&>();
+    if (name.empty() || name.size() > gateway::kMaxDataCentreName) {
+      throw json::out_of_range::create(0, "name of a data centre", nullptr);
+    }
+    message.mEvacuations.mDataCentres.insert(name);
+  }
+  if (message.mEvacuations.mDataCentres.size() > gateway::kMaxEvacuations) {
+    throw json::out_of_range::create(0, "too many evacuations", nullptr);
+  }
+  return message;
+}
+
 json
 MessageToJson(const PeerMessage& aMessage)
 {
@@ -360,10 +379,14 @@
       if constexpr (std::is_same_v<Message, CancelMessage>) {
         return { MessageType::Cancel, aValue.mId };
       } else if constexpr (std::is_same_v<Message, LoadMessage>) {
-        return { MessageType::Load,
-                 ToJson(aValue.mLoad),
-                 aValue.mStateVersion,
-                 static_cast<int>(aValue.mFollowState) };
+        json list = { MessageType::Load,
+                      ToJson(aValue.mLoad),
+                      aValue.mStateVersion,
+                      static_cast<int>(aValue.mFollowState) };
+        if (aValue.mEvacuationDigest != 0) {
+          list.push_back(aValue.mEvacuationDigest);
+        }
+        return list;
       } else if constexpr (std::is_same_v<Message, DataCentreLoadsMessage>) {
         json list = json::array({ MessageType::DataCentreLoads });
         for (const auto& [node, load] : aValue.mLoads) {
@@ -401,6 +424,10 @@
                            fact.mExpires.WholeMillis() });
         }
         return list;
+      } else if constexpr (std::is_same_v<Message, EvacuationsMessage>) {
+        return { MessageType::Evacuations,
+                 aValue.mEvacuations.mVersion,
+                 aValue.mEvacuations.mDataCentres };
       } else {
         return ToJson(aValue);
       }
@@ -421,7 +448,10 @@
     case MessageType::Load:
       return LoadMessage{ .mLoad = LoadFromJson(aList.at(1)),
                           .mStateVersion = aList.at(2).get<std::uint64_t>(),
-                          .mFollowState = FollowStateFromJson(aList.at(3)) };
+                          .mFollowState = FollowStateFromJson(aList.at(3)),
+                          .mEvacuationDigest =
+                            aList.size() > 4 ? aList.at(4).get<std::uint64_t>()
+                                             : 0 };
     case MessageType::DataCentreLoads: {
       DataCentreLoadsMessage message;
       for (std::size_t i = 1; i + 1 < aList.size(); i += 2) {
@@ -468,6 +498,8 @@
       }
       return message;
     }
+    case MessageType::Evacuations:
+      return EvacuationsFromJson(aList);
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -105,6 +105,25 @@
                                                    .mSequence = 3,
                                                    .mExpires = Millis{ 5000 } },
                                                  { .mFingerprint = "g" } } });
+  ExpectRoundTrip(LoadMessage{ .mEvacuationDigest = ~std::uint64_t{ 0 } });
+  ExpectRoundTrip(EvacuationsMessage{ { .mVersion = 5 } });
+  ExpectRoundTrip(
+    EvacuationsMessage{ { .mVersion = 5, .mDataCentres = { "a", "b" } } });
+}
+
+// Guards against evacuations of another program that a node keeps and sends on
+// without a bound.
+TEST(PeerMessages, EvacuationsBeyondTheirBoundsAreRejected)
+{
+  EvacuationsMessage many;
+  for (std::size_t i = 0; i <= gateway::kMaxEvacuations; ++i) {
+    many.mEvacuations.mDataCentres.insert(std::to_string(i));
+  }
+  EXPECT_FALSE(DecodeMessage(EncodeMessage(many)));
+  EXPECT_FALSE(DecodeMessage(
+    EncodeMessage(EvacuationsMessage{ { .mDataCentres = { "" } } })));
+  EXPECT_FALSE(DecodeMessage(EncodeMessage(
+    EvacuationsMessage{ { .mDataCentres = { std::string(256, 'x') } } })));
 }
 
 // Guards against malformed messages, such as truncated ones or those of another
