Choose targets only in allowed places

Cause: the target directory offered targets of every region.

Change: TargetQuery has the placement of the request, which excludes targets in other regions and evacuated data centres; by default it excludes none.

--- a/libs/sidecar/include/sidecar/TargetDirectory.h
+++ b/libs/sidecar/include/sidecar/TargetDirectory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <gateway/NodeDirectory.h>
+#include <gateway/Placement.h>
 #include <gateway/TargetChoice.h>
 #include <sidecar/PeerMessages.h>
 
@@ -23,6 +24,8 @@
   /** Nodes to skip, because an earlier attempt of the request failed there or
    *  was refused. */
   const std::vector<std::string>& mExcluded;
+  /** The regions and data centres in which the request may run. */
+  gateway::Placement mPlacement{};
 };
 
 /** The targets of all known nodes with their last reported loads. */
@@ -82,6 +85,10 @@
   [[nodiscard]] bool OtherVersionsIdle(std::string_view aService,
                                        std::string_view aVersion) const;
 
+  /** @return whether any node is known in a place that is allowed. */
+  [[nodiscard]] bool HasAllowedPlace(
+    const gateway::Placement& aPlacement) const;
+
   [[nodiscard]] const gateway::NodeDirectory& Nodes() const { return mNodes; }
 
 private:
--- a/libs/sidecar/src/TargetDirectory.cpp
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -101,7 +101,8 @@
   for (const auto& [node, record] : ready) {
     if (!AllowsVersion(aQuery, record->mTarget->mVersion) ||
         std::find(aQuery.mExcluded.begin(), aQuery.mExcluded.end(), node) !=
-          aQuery.mExcluded.end()) {
+          aQuery.mExcluded.end() ||
+        !aQuery.mPlacement.Allows(record->mRegion, record->mDataCentre)) {
       continue;
     }
     const auto load = mLoads.find(record->mNode);
@@ -126,6 +127,16 @@
   return candidates;
 }
 
+bool
+TargetDirectory::HasAllowedPlace(const gateway::Placement& aPlacement) const
+{
+  const auto& dataCentres = mNodes.DataCentres();
+  return std::any_of(
+    dataCentres.begin(), dataCentres.end(), [&](const auto& aEntry) {
+      return aPlacement.Allows(aEntry.second.mRegion, aEntry.first);
+    });
+}
+
 bool
 TargetDirectory::HasReadyTarget(std::string_view aService,
                                 std::string_view aVersion,
