Obey allowed regions and evacuations at both nodes of a call

Cause: a request could reach any region, and an evacuation had no effect.

Change: the dispatcher queries with the placement of the request for every attempt and refuses at once with no_allowed_target and a Retry-After when nothing is left; it holds requests at startup only if a target may still appear. The target's node checks arriving calls again, and waiting ones when the set or the desired state changes, and refuses them as not run. Readers of the store apply evacuation rows before the others of a list and send the set to their data centre and to link nodes of the others; a node that starts gets it before the desired state, and a load message with another digest is answered with the set. New log events, a counter and two gauges show it. The tenant of a request stays empty until callers are identified.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -12,6 +12,7 @@
 
 #include <base/Millis.h>
 #include <base/Random.h>
+#include <gateway/Placement.h>
 #include <gateway/RetryBudget.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/RunTimes.h>
@@ -56,6 +57,7 @@
   Random& mRandom;
   /** Chooses the versions allowed for one request of a service. */
   std::function<VersionChoice(const std::string&)> mChooseVersion;
+  const gateway::EvacuationSet& mEvacuations;
 };
 
 /**
@@ -111,6 +113,8 @@
     std::string mService;
     VersionChoice mVersion;
     std::string mRequestId;
+    /** The name of the caller's tenant; empty if there is none. */
+    std::string mTenant;
     HttpHeaders mHeaders;
     Millis mArrivedAt;
     /** When the first target was looked for. Later than the arrival if the
@@ -158,8 +162,21 @@
   void OnHoldTimer();
   /** Refuses a request because no desired state or no target is known yet. */
   void RefuseUnroutable(CallerExchange& aExchange);
-  /** @return whether the service has a target that calls can be sent to now. */
-  [[nodiscard]] bool HasTarget(const std::string& aService) const;
+  /** @return whether the service has no target that calls can be sent to now,
+   *    but nodes that are not known yet may have one in an allowed place. */
+  [[nodiscard]] bool MayAwaitTarget(const std::string& aService,
+                                    const gateway::Placement& aPlacement) const;
+  /** @return where requests of the tenant may run on the route, by the table
+   *    and the evacuations in force. */
+  [[nodiscard]] gateway::Placement PlacementOf(
+    const gateway::RouteRule& aRule,
+    const std::string& aTenant) const;
+  /** As above for an active request. If the desired state has changed since it
+   *  arrived, both the old and the new one restrict it. */
+  [[nodiscard]] gateway::Placement PlacementOf(
+    const ActiveRequest& aActive) const;
+  /** Answers a request for which no target is found. */
+  void AnswerNoTarget(std::uint64_t aId, const gateway::Placement& aPlacement);
   /** @return how long the caller waits, if the request states it. */
   [[nodiscard]] std::optional<Millis> CallerTimeout(
     const HttpMessage& aRequest) const;
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -54,6 +54,9 @@
   /** @return whether the version of the target may receive requests. It may
    *    not once a rollout has moved all requests to another version. */
   std::function<bool(const gateway::TargetInfo&)> mVersionTakesRequests;
+  /** @return why the request may not run in the place of this node, or nullptr
+   *    if it may. */
+  std::function<const char*(const CallMessage&)> mPlacementRefusal;
 };
 
 struct LocalTargetProxyOptions
@@ -108,6 +111,10 @@
   /** Stops a call whose caller has gone away. Its callback does not run. */
   void Cancel(CallId aId);
 
+  /** Refuses the waiting calls that may no longer run here. To be called when
+   *  an evacuation or the desired state has changed. */
+  void RefuseMisplaced();
+
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
   {
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -69,6 +69,7 @@
   prometheus::Counter& mTargetConnections;
   prometheus::Counter& mReadingPauses;
   prometheus::Counter& mLoopDelays;
+  prometheus::Counter& mPlacementRefusals;
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
   prometheus::Gauge& mCallerConnections;
@@ -76,6 +77,8 @@
   prometheus::Gauge& mStateVersion;
   prometheus::Gauge& mStateAge;
   prometheus::Gauge& mLoopLag;
+  prometheus::Gauge& mEvacuations;
+  prometheus::Gauge& mOwnEvacuation;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -24,6 +24,9 @@
   /** Called with a new or changed operator row and the row that it
    *  replaces. */
   std::function<void(const Row& aOld, const Row& aNew)> mOperatorRowChanged;
+  /** Called with operator rows that were read, before each of them is merged,
+   *  and whether they are the whole table, or else only changes. */
+  std::function<void(const RowList&, bool aWholeTable)> mOperatorRowsRead;
   /** Called with the stored record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecordRead;
   /** Called with rollout progress that was read from or written to the store.
@@ -149,7 +152,7 @@
   void FollowOperatorRows();
   void ReadNodes();
   void WriteRecord();
-  void MergeOperatorRows(const RowList& aList);
+  void MergeOperatorRows(const RowList& aList, bool aWholeTable);
   void MergeNodes(const RowList& aList);
   /** Updates metrics, the store's clock and its availability. */
   void OnStoreResult(const char* aCall, const Result& aResult);
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -108,7 +108,10 @@
   const std::size_t destination = rule->mRoundRobin.Next();
   const std::string& service =
     rule->mRule.mDestinations.at(destination).mService;
-  if (mStartupQueue.IsOpen(now) && !HasTarget(service) &&
+  // Callers are not identified, so no request has a tenant.
+  const std::string tenant;
+  if (mStartupQueue.IsOpen(now) &&
+      MayAwaitTarget(service, PlacementOf(rule->mRule, tenant)) &&
       TryHold(aExchange, aArrivedAt)) {
     return;
   }
@@ -134,6 +137,7 @@
                           .mService = service,
                           .mVersion = mDependencies.mChooseVersion(service),
                           .mRequestId = std::move(requestId),
+                          .mTenant = tenant,
                           .mHeaders = EndToEndHeaders(request.mHeaders),
                           .mArrivedAt = aArrivedAt,
                           .mRoutedAt = now,
@@ -154,11 +158,13 @@
 {
   ActiveRequest& active = mActiveRequests.at(aId);
   const Millis now = SteadyNow();
+  const gateway::Placement placement = PlacementOf(active);
   const std::vector<TargetCandidate> candidates =
     mDependencies.mTargets.Candidates({ .mService = active.mService,
                                         .mRule = active.mVersion.mRule,
                                         .mVersion = active.mVersion.mVersion,
-                                        .mExcluded = active.mExcluded });
+                                        .mExcluded = active.mExcluded,
+                                        .mPlacement = placement });
   const auto choice = gateway::ChooseTarget(
     candidates,
     { .mObjectiveLeft = active.mArrivedAt + active.mRule->mObjective - now,
@@ -175,7 +181,7 @@
     if (active.mTargetsReached > 0 || active.mRefusals > 0) {
       AnswerFromLastReply(aId);
     } else {
-      AnswerRefused(aId, "no_target", kDefaultRetryAfter);
+      AnswerNoTarget(aId, placement);
     }
     return;
   }
@@ -215,7 +221,8 @@
                     .mObjectiveLeft =
                       aActive.mArrivedAt + aActive.mRule->mObjective - now,
                     .mPriority = aActive.mRule->mPriority,
-                    .mIdempotent = aActive.mRule->mIdempotent };
+                    .mIdempotent = aActive.mRule->mIdempotent,
+                    .mTenant = aActive.mTenant };
   aActive.mNode = aNode;
   aActive.mSentAt = now;
   aActive.mLink = 0;
--- a/libs/sidecar/src/DispatcherStartup.cpp
+++ b/libs/sidecar/src/DispatcherStartup.cpp
@@ -74,12 +74,21 @@
 }
 
 bool
-Dispatcher::HasTarget(const std::string& aService) const
+Dispatcher::MayAwaitTarget(const std::string& aService,
+                           const gateway::Placement& aPlacement) const
 {
-  return !mDependencies.mTargets
-            .Candidates(
-              { .mService = aService, .mVersion = {}, .mExcluded = {} })
-            .empty();
+  const TargetDirectory& targets = mDependencies.mTargets;
+  const bool hasTarget = !targets
+                            .Candidates({ .mService = aService,
+                                          .mVersion = {},
+                                          .mExcluded = {},
+                                          .mPlacement = aPlacement })
+                            .empty();
+  const gateway::Placement anyRegion{ .mEvacuations = aPlacement.mEvacuations };
+  const bool isImpossible =
+    aPlacement.mRegions.AllowsNothing() ||
+    (anyRegion.IsRestricted() && !targets.HasAllowedPlace(anyRegion));
+  return !hasTarget && !isImpossible;
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 #include <http/HttpText.h>
 
@@ -265,6 +267,29 @@
   }
 }
 
+void
+LocalTargetProxy::RefuseMisplaced()
+{
+  std::vector<std::pair<CallId, const char*>> refused;
+  for (const auto& [id, active] : mActiveCalls) {
+    if (active.mSentToTarget) {
+      continue;
+    }
+    if (const char* const reason = mHandlers.mPlacementRefusal(active.mCall)) {
+      refused.emplace_back(id, reason);
+    }
+  }
+  // All leave the queue before the first callback runs: it may send the request
+  // elsewhere or end others of its connection.
+  for (const auto& [id, reason] : refused) {
+    mQueue.Cancel(id);
+  }
+  for (const auto& [id, reason] : refused) {
+    mMetrics.mPlacementRefusals.Increment();
+    Refuse(id, reason);
+  }
+}
+
 const char*
 LocalTargetProxy::RefusalReason(const CallMessage& aCall) const
 {
@@ -282,6 +307,10 @@
   if (!mHandlers.mVersionTakesRequests(*mTarget)) {
     return "version_replaced";
   }
+  if (const char* const reason = mHandlers.mPlacementRefusal(aCall)) {
+    mMetrics.mPlacementRefusals.Increment();
+    return reason;
+  }
   if (mQueue.Waiting() >= kMaxWaiting) {
     return "queue_full";
   }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -83,6 +83,15 @@
       },
       mLog,
       mMetrics)
+  , mEvacuations({ .mDataCentre = aSettings.mDataCentre,
+                   .mRowPrefix = aProtocol.Operator().mEvacuationPrefix },
+                 { .mIsKnownDataCentre =
+                     [this](const std::string& aName) {
+                       return mTargets.Nodes().DataCentres().contains(aName);
+                     },
+                   .mChanged = [this] { mLocalTarget.RefuseMisplaced(); } },
+                 mLog,
+                 mMetrics)
   , mLocalTarget(aLoop,
                  { .mNode = aSettings.mName,
                    .mAddress = aSettings.mTargetAddress,
@@ -113,6 +122,10 @@
                    .mVersionTakesRequests =
                      [this](const gateway::TargetInfo& aTarget) {
                        return mRollouts.TakesRequests(aTarget);
+                     },
+                   .mPlacementRefusal =
+                     [this](const CallMessage& aCall) {
+                       return PlacementRefusal(aCall);
                      } },
                  mLog,
                  mMetrics)
@@ -132,7 +145,8 @@
         .mChooseVersion =
           [this](const std::string& aService) {
             return mRollouts.ChooseVersion(aService);
-          } })
+          },
+        .mEvacuations = mEvacuations.Set() })
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
@@ -143,6 +157,10 @@
           [this](const Row& aOld, const Row& aRow) {
             OnOperatorRow(aOld, aRow);
           },
+        .mOperatorRowsRead =
+          [this](const RowList& aList, bool aWholeTable) {
+            OnOperatorRowsRead(aList, aWholeTable);
+          },
         .mRecordRead =
           [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
         .mProgressStored =
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -18,6 +18,7 @@
 #include <net/HttpServer.h>
 #include <sidecar/CrashGuard.h>
 #include <sidecar/Dispatcher.h>
+#include <sidecar/EvacuationAgent.h>
 #include <sidecar/EventLog.h>
 #include <sidecar/LocalTargetProxy.h>
 #include <sidecar/PeerMesh.h>
@@ -53,6 +54,7 @@
   gateway::LinkTopology mTopology;
   RolloutAgent mRollouts;
   CrashGuard mCrashes;
+  EvacuationAgent mEvacuations;
   LocalTargetProxy mLocalTarget;
   Dispatcher mDispatcher;
   StoreSync mSync;
@@ -188,6 +190,18 @@
                                           Millis aNow);
   void OnDataCentreLoads(const std::string& aFrom,
                          const DataCentreLoadsMessage& aMessage);
+  /** Applies evacuations that were read from the store, and tells other nodes
+   *  when they have changed. */
+  void OnOperatorRowsRead(const RowList& aList, bool aWholeTable);
+  /** Applies the evacuations of another node if they are later. */
+  void OnEvacuations(const std::string& aFrom,
+                     const EvacuationsMessage& aMessage);
+  /** Sends the evacuations to the sender of a load message that shows other
+   *  ones. */
+  void RepairEvacuations(LinkId aLink, const LoadMessage& aMessage);
+  /** @return why the call may not run at the local target's place, or nullptr
+   *    if it may. */
+  [[nodiscard]] const char* PlacementRefusal(const CallMessage& aCall) const;
   void OnEvidence(const std::string& aFrom, const EvidenceMessage& aMessage);
   /** Distributes a message to all nodes: within the own data centre and, from
    *  its relay, to the relays of the others.
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -306,6 +306,10 @@
 void
 Sidecar::Impl::SendOperatorRows(LinkId aLink)
 {
+  if (mEvacuations.Set().Digest() != 0) {
+    // Before the desired state, with which a node that starts begins to route.
+    mMesh.Reply(aLink, mEvacuations.Message());
+  }
   for (const auto& [key, row] : mSync.OperatorRows()) {
     // Compressed once per version, because many nodes may query at once.
     OperatorRowMessage& packed = mPackedRows[key];
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -82,6 +82,9 @@
   } else if (const auto* const quarantine =
                std::get_if<QuarantineMessage>(&aMessage)) {
     mCrashes.OnQuarantined(*quarantine);
+  } else if (const auto* const evacuations =
+               std::get_if<EvacuationsMessage>(&aMessage)) {
+    OnEvacuations(aNode, *evacuations);
   }
 }
 
@@ -184,6 +187,7 @@
                       const LoadMessage& aMessage)
 {
   mTargets.OnLoad(aNode, aMessage.mLoad);
+  RepairEvacuations(aLink, aMessage);
   if (InOwnRegion(aNode)) {
     const auto before =
       std::exchange(mFollowStates[aNode], aMessage.mFollowState);
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -109,6 +109,10 @@
   , mLoopDelays(Counter(mRegistry,
                         "papayaway_loop_delays_total",
                         "Ticks that ran late by a quarter second or more"))
+  , mPlacementRefusals(
+      Counter(mRegistry,
+              "papayaway_placement_refusals_total",
+              "Calls that may not run at the local target's place"))
   , mRunning(Gauge(mRegistry,
                    "papayaway_running",
                    "Requests running at the local target"))
@@ -128,6 +132,11 @@
   , mLoopLag(Gauge(mRegistry,
                    "papayaway_loop_lag_milliseconds",
                    "How late the last timer of the loop ran"))
+  , mEvacuations(
+      Gauge(mRegistry, "papayaway_evacuations", "Evacuated data centres"))
+  , mOwnEvacuation(Gauge(mRegistry,
+                         "papayaway_own_evacuation",
+                         "Whether the data centre of this node is evacuated"))
 {
 }
 
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -81,6 +81,7 @@
   mRoutingTable = std::make_shared<gateway::RoutingTable>(*state);
   mStateAppliedAt = SteadyNow();
   mDispatcher.SetRoutingTable(mRoutingTable);
+  mLocalTarget.RefuseMisplaced();
   const gateway::RequestLimits& limits = state->mLimits;
   mCallerServer->SetLimits(
     { .mSizes = { .mMaxHeaderBytes = limits.mMaxHeaderBytes,
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -33,7 +33,8 @@
 {
   return { .mLoad = mLocalTarget.Load(),
            .mStateVersion = mRoutingTable ? mRoutingTable->State().mVersion : 0,
-           .mFollowState = mSync.FollowingState() };
+           .mFollowState = mSync.FollowingState(),
+           .mEvacuationDigest = mEvacuations.Set().Digest() };
 }
 
 void
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -181,11 +181,15 @@
 }
 
 void
-StoreSync::MergeOperatorRows(const RowList& aList)
+StoreSync::MergeOperatorRows(const RowList& aList, bool aWholeTable)
 {
   mOperatorRowsVersion = std::max(mOperatorRowsVersion, aList.mVersion);
+  mHandlers.mOperatorRowsRead(aList, aWholeTable);
   for (const Row& row : aList.mRows) {
-    MergeOperatorRow(row);
+    // Evacuations are exchanged as a set and not row by row.
+    if (!row.mKey.starts_with(mNames.mEvacuationPrefix)) {
+      MergeOperatorRow(row);
+    }
   }
 }
 
@@ -202,7 +206,7 @@
       return;
     }
     mOperatorRowsRead = true;
-    MergeOperatorRows(*aResult);
+    MergeOperatorRows(*aResult, true);
     FetchOperatorRows();
   });
 }
@@ -232,7 +236,7 @@
       }
       mFollowSucceeded = true;
       mFollowFailed = false;
-      MergeOperatorRows(*aResult);
+      MergeOperatorRows(*aResult, false);
       mOperatorRowsTimer.StartOnce(aResult->mRows.empty()
                                      ? Millis{ 1 }
                                      : mOptions.mOperatorRowsBatchDelay);
