--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -74,6 +74,7 @@
   prometheus::Counter& mTargetConnections;
   prometheus::Counter& mReadingPauses;
   prometheus::Counter& mLoopDelays;
+  prometheus::Counter& mPlacementRefusals;
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
   prometheus::Gauge& mAdmissionRate;
@@ -82,6 +83,8 @@
   prometheus::Gauge& mStateVersion;
   prometheus::Gauge& mStateAge;
   prometheus::Gauge& mLoopLag;
+  prometheus::Gauge& mEvacuations;
+  prometheus::Gauge& mOwnEvacuation;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -91,6 +91,7 @@
   mStateAppliedAt = SteadyNow();
   mDispatcher.SetRoutingTable(mRoutingTable);
   ApplyServiceRules(*state);
+  mLocalTarget.RefuseMisplaced();
   const gateway::RequestLimits& limits = state->mLimits;
   mCallerServer->SetLimits(
     { .mSizes = { .mMaxHeaderBytes = limits.mMaxHeaderBytes,
