Apply usage caps to the requests of tenants

The dispatcher asks the agent of the usage caps before it sends the request of a tenant to a target. It refuses a request over the cap with 429 and the time when one is expected to be admitted, and returns the token of a request that was refused without having run.

--- a/libs/base/include/base/Millis.h
+++ b/libs/base/include/base/Millis.h
@@ -66,6 +66,10 @@
 /** @return the time of the monotonic clock. */
 Millis SteadyNow();
 
+/** @return the time of the monotonic clock that does not stop while the process
+ *    or the host is suspended. Not comparable with SteadyNow(). */
+Millis BootNow();
+
 /** @return the time of the wall clock since the Unix epoch. */
 Millis WallNow();
 
--- a/libs/base/src/Millis.cpp
+++ b/libs/base/src/Millis.cpp
@@ -1,6 +1,7 @@
 #include <base/Millis.h>
 
 #include <chrono>
+#include <ctime>
 
 namespace papayaway {
 
@@ -24,6 +25,15 @@
   return Now<std::chrono::steady_clock>();
 }
 
+Millis
+BootNow()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Seconds(static_cast<double>(time.tv_sec)) +
+         Millis{ static_cast<double>(time.tv_nsec) / 1e6 };
+}
+
 Millis
 WallNow()
 {
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -20,6 +20,7 @@
 #include <gateway/TargetChoice.h>
 #include <http/CallerServer.h>
 #include <net/EventLoop.h>
+#include <sidecar/CapAgent.h>
 #include <sidecar/EventLog.h>
 #include <sidecar/LocalTargetProxy.h>
 #include <sidecar/PeerMesh.h>
@@ -51,6 +52,7 @@
   PeerMesh& mMesh;
   TargetDirectory& mTargets;
   LocalTargetProxy& mLocalTarget;
+  CapAgent& mCaps;
   EventLog& mLog;
   SidecarMetrics& mMetrics;
   Random& mRandom;
@@ -111,6 +113,12 @@
     std::string mService;
     VersionChoice mVersion;
     std::string mRequestId;
+    /** The tenant whose usage cap applies; empty if there is none. */
+    std::string mTenant;
+    /** Whether the request waits for a token of its tenant. */
+    bool mWaitsForToken = false;
+    /** When the token that was taken for the request expires. */
+    Millis mTokenExpiry;
     HttpHeaders mHeaders;
     Millis mArrivedAt;
     /** When the first target was looked for. Later than the arrival if the
@@ -165,6 +173,11 @@
     const HttpMessage& aRequest) const;
   void Route(const std::shared_ptr<CallerExchange>& aExchange,
              Millis aArrivedAt);
+  /** @return the name of the tenant whose key the request carries, or "". */
+  [[nodiscard]] std::string TenantOf(const HttpMessage& aRequest) const;
+  /** Dispatches the request once its tenant's usage cap allows it, or refuses
+   *  it. */
+  void AdmitAndDispatch(std::uint64_t aId);
   /** Chooses a target for the next attempt and sends the request, or answers
    *  the caller if no target can run it in time. */
   void Dispatch(std::uint64_t aId);
@@ -191,6 +204,9 @@
   void AnswerRefused(std::uint64_t aId,
                      const char* aReason,
                      Millis aExpectedWait);
+  /** Answers that the tenant's usage cap is used up.
+   *  @param aRetryAfter when a request is expected to be admitted. */
+  void AnswerOverCap(std::uint64_t aId, Millis aRetryAfter);
   void AnswerFromLastReply(std::uint64_t aId);
   void AnswerError(std::uint64_t aId, int aStatus, const char* aReason);
   void Refuse(CallerExchange& aExchange,
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -7,6 +7,7 @@
 
 #include <base/Error.h>
 #include <base/Millis.h>
+#include <gateway/CapMessages.h>
 #include <gateway/FollowerElection.h>
 #include <gateway/NodeRecord.h>
 #include <gateway/Rollout.h>
@@ -200,6 +201,23 @@
   bool operator==(const QuarantineMessage&) const = default;
 };
 
+/** Lends a part of the usage caps or requests tokens; sent to the relay and by
+ *  it to the coordinator. */
+struct CapReportMessage
+{
+  gateway::CapReport mReport;
+
+  bool operator==(const CapReportMessage&) const = default;
+};
+
+/** A round of the coordinator of the usage caps, or granted tokens. */
+struct CapGrantMessage
+{
+  gateway::CapAnswer mAnswer;
+
+  bool operator==(const CapGrantMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -212,7 +230,9 @@
                                  OperatorRowMessage,
                                  CrashMessage,
                                  SuspectCompletedMessage,
-                                 QuarantineMessage>;
+                                 QuarantineMessage,
+                                 CapReportMessage,
+                                 CapGrantMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -76,6 +76,8 @@
   prometheus::Gauge& mStateVersion;
   prometheus::Gauge& mStateAge;
   prometheus::Gauge& mLoopLag;
+  prometheus::Gauge& mCapShare;
+  prometheus::Gauge& mCapHeld;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -134,6 +134,7 @@
                           .mService = service,
                           .mVersion = mDependencies.mChooseVersion(service),
                           .mRequestId = std::move(requestId),
+                          .mTenant = TenantOf(request),
                           .mHeaders = EndToEndHeaders(request.mHeaders),
                           .mArrivedAt = aArrivedAt,
                           .mRoutedAt = now,
@@ -144,9 +145,8 @@
   active.mHeaders.Remove(names.mTimeLeft);
   mDeadlines.emplace(active.mDeadline, id);
   ArmDeadlineTimer();
-  mBudget.OnRequest(service, now);
   aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
-  Dispatch(id);
+  AdmitAndDispatch(id);
 }
 
 void
@@ -270,7 +270,8 @@
     return false;
   }
   const bool allowed =
-    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow());
+    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow()) &&
+    (notRun || mDependencies.mCaps.TryTake(aActive.mTenant));
   (allowed ? mDependencies.mMetrics.mRetries
            : mDependencies.mMetrics.mRetriesDenied)
     .Increment();
@@ -345,6 +346,9 @@
 const char*
 Dispatcher::StageOf(const ActiveRequest& aActive) const
 {
+  if (aActive.mWaitsForToken) {
+    return "held";
+  }
   if (aActive.mIsLocal) {
     return "local";
   }
--- a/libs/sidecar/src/DispatcherAnswers.cpp
+++ b/libs/sidecar/src/DispatcherAnswers.cpp
@@ -105,6 +105,7 @@
     Answer(aId, ErrorResponse(502, aReason), "outcome_unknown");
     return;
   }
+  mDependencies.mCaps.Credit(active.mTenant, active.mTokenExpiry);
   const Millis timeLeft =
     active.mArrivedAt + active.mCallerTimeout - SteadyNow();
   const Millis maxRetryAfter = timeLeft * kMaxRetryAfterFraction;
@@ -119,6 +120,15 @@
   Answer(aId, std::move(response), aReason);
 }
 
+void
+Dispatcher::AnswerOverCap(std::uint64_t aId, Millis aRetryAfter)
+{
+  CallerResponse response = ErrorResponse(429, "over_cap");
+  response.mHeaders.Add("Retry-After", RetryAfterText(aRetryAfter));
+  mDependencies.mMetrics.OnRefused("over_cap");
+  Answer(aId, std::move(response), "over_cap");
+}
+
 void
 Dispatcher::Answer(std::uint64_t aId,
                    CallerResponse aResponse,
--- /dev/null
+++ b/libs/sidecar/src/DispatcherCaps.cpp
@@ -0,0 +1,61 @@
+// Dispatcher: the usage caps of tenants.
+
+#include <algorithm>
+
+#include <sidecar/Dispatcher.h>
+
+namespace papayaway::sidecar {
+
+namespace {
+
+/** A request waits for a token of its tenant at most this fraction of its
+ *  latency objective; a refusal after more than an eighth has less worth. */
+constexpr double kHoldFraction = 0.1;
+
+} // namespace
+
+std::string
+Dispatcher::TenantOf(const HttpMessage& aRequest) const
+{
+  const std::string_view key =
+    aRequest.mHeaders.Value(mDependencies.mProtocol.Headers().mCredential);
+  if (!key.empty()) {
+    for (const gateway::Tenant& tenant : mTable->State().mTenants) {
+      if (std::find(tenant.mKeys.begin(), tenant.mKeys.end(), key) !=
+          tenant.mKeys.end()) {
+        return tenant.mName;
+      }
+    }
+  }
+  return {};
+}
+
+void
+Dispatcher::AdmitAndDispatch(std::uint64_t aId)
+{
+  ActiveRequest& active = mActiveRequests.at(aId);
+  const std::string tenant = active.mTenant;
+  active.mWaitsForToken = true;
+  mDependencies.mCaps.Admit(
+    tenant,
+    std::min(active.mRule->mObjective * kHoldFraction,
+             (active.mDeadline - SteadyNow()) * kHoldFraction),
+    [this, aId, tenant](const gateway::CapDecision& aDecision) {
+      const auto found = mActiveRequests.find(aId);
+      if (found == mActiveRequests.end()) {
+        // The caller has disconnected, or the deadline has passed.
+        mDependencies.mCaps.Credit(tenant, aDecision.mTokenExpiry);
+        return;
+      }
+      found->second.mWaitsForToken = false;
+      found->second.mTokenExpiry = aDecision.mTokenExpiry;
+      if (aDecision.mOutcome == gateway::CapOutcome::Refused) {
+        AnswerOverCap(aId, aDecision.mRetryAfter);
+        return;
+      }
+      mBudget.OnRequest(found->second.mService, SteadyNow());
+      Dispatch(aId);
+    });
+}
+
+} // namespace papayaway::sidecar
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -10,6 +10,8 @@
 #include <base/JsonDepth.h>
 #include <net/SocketAddress.h>
 
+#include "CapMessageFormat.h"
+
 namespace papayaway::sidecar {
 
 using gateway::NodeRecord;
@@ -39,6 +41,8 @@
   Crash,
   SuspectCompleted,
   Quarantine,
+  CapReport,
+  CapGrant,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -401,6 +405,12 @@
                            fact.mExpires.WholeMillis() });
         }
         return list;
+      } else if constexpr (std::is_same_v<Message, CapReportMessage>) {
+        return CapReportToJson(static_cast<int>(MessageType::CapReport),
+                               aValue.mReport);
+      } else if constexpr (std::is_same_v<Message, CapGrantMessage>) {
+        return CapAnswerToJson(static_cast<int>(MessageType::CapGrant),
+                               aValue.mAnswer);
       } else {
         return ToJson(aValue);
       }
@@ -468,6 +478,10 @@
       }
       return message;
     }
+    case MessageType::CapReport:
+      return CapReportMessage{ .mReport = CapReportFromJson(aList) };
+    case MessageType::CapGrant:
+      return CapGrantMessage{ .mAnswer = CapAnswerFromJson(aList) };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -116,6 +116,19 @@
                      } },
                  mLog,
                  mMetrics)
+  , mCaps(
+      aLoop,
+      { .mDataCentre = aSettings.mDataCentre,
+        .mNode = aSettings.mName,
+        .mProcess = UniformBelow(mRandom, std::uint64_t{ 1 } << 53),
+        .mRules = { .mWindow = aSettings.mQuotaWindow,
+                    .mExcess = aSettings.mQuotaExcess,
+                    .mSlack = aSettings.mQuotaSlack } },
+      { .mSend =
+          [this](const gateway::CapSending& aSending) { SendCap(aSending); },
+        .mView = [this] { return ViewForCaps(); } },
+      mLog,
+      mMetrics)
   , mDispatcher(
       aLoop,
       { .mNode = aSettings.mName,
@@ -126,6 +139,7 @@
         .mMesh = mMesh,
         .mTargets = mTargets,
         .mLocalTarget = mLocalTarget,
+        .mCaps = mCaps,
         .mLog = mLog,
         .mMetrics = mMetrics,
         .mRandom = mRandom,
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -16,6 +16,7 @@
 #include <gateway/StopSchedule.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
+#include <sidecar/CapAgent.h>
 #include <sidecar/CrashGuard.h>
 #include <sidecar/Dispatcher.h>
 #include <sidecar/EventLog.h>
@@ -54,6 +55,7 @@
   RolloutAgent mRollouts;
   CrashGuard mCrashes;
   LocalTargetProxy mLocalTarget;
+  CapAgent mCaps;
   Dispatcher mDispatcher;
   StoreSync mSync;
   std::unique_ptr<CallerServer> mCallerServer;
@@ -78,6 +80,10 @@
   Millis mMissingSince;
   Millis mQueriedAt;
   Millis mStarted;
+  /** The number of nodes among which the usage caps are divided, and when there
+   *  were last that many. */
+  std::size_t mCapNodes = 0;
+  Millis mCapNodesSeenAt;
   /** The loads of the own data centre that were sent within it, to the other
    *  data centres of the region, and to other regions. */
   SentLoads mLoadsSentInDataCentre;
@@ -225,6 +231,11 @@
   /** @return the rank of this node among the nodes that may advance the
    *    service's rollout, 0 for the first. */
   [[nodiscard]] std::size_t RolloutRank(const std::string& aService) const;
+  void SendCap(const gateway::CapSending& aSending);
+  gateway::CapView ViewForCaps();
+  /** @return how many reachable nodes come before this one in the order in
+   * which nodes become coordinators of the usage caps. */
+  [[nodiscard]] std::size_t CapRank() const;
   /** Takes the next step of a graceful stop, or ends it. */
   void ContinueStop(Millis aNow);
 };
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -82,6 +82,12 @@
   } else if (const auto* const quarantine =
                std::get_if<QuarantineMessage>(&aMessage)) {
     mCrashes.OnQuarantined(*quarantine);
+  } else if (const auto* const report =
+               std::get_if<CapReportMessage>(&aMessage)) {
+    mCaps.OnReport(aNode, *report);
+  } else if (const auto* const grant =
+               std::get_if<CapGrantMessage>(&aMessage)) {
+    mCaps.OnGrant(aNode, InOwnDataCentre(aNode), *grant);
   }
 }
 
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -128,6 +128,12 @@
   , mLoopLag(Gauge(mRegistry,
                    "papayaway_loop_lag_milliseconds",
                    "How late the last timer of the loop ran"))
+  , mCapShare(Gauge(mRegistry,
+                    "papayaway_cap_share",
+                    "Fraction of all usage caps that this node issues"))
+  , mCapHeld(Gauge(mRegistry,
+                   "papayaway_cap_held",
+                   "Requests waiting for a token of their tenant"))
 {
 }
 
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -81,6 +81,7 @@
   UpdateLinks();
   ApplyPendingState(now);
   mMesh.Tick(now);
+  mCaps.Tick();
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
   if (now - mLastLoadCheck >= kLoadPeriod) {
     mLastLoadCheck = now;
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -52,6 +52,20 @@
   ExpectRoundTrip(kCall);
   ExpectRoundTrip(kReply);
   ExpectRoundTrip(CancelMessage{ .mId = 9 });
+  const gateway::CapRound round{
+    .mCoordinator = { .mDataCentre = "d", .mNode = "n", .mProcess = 77 },
+    .mNumber = 4
+  };
+  ExpectRoundTrip(CapReportMessage{
+    { .mLoan = gateway::CapLoan{ .mRound = round, .mShare = 0.25 },
+      .mRequest = 3,
+      .mWanted = { { "t", 12 } } } });
+  ExpectRoundTrip(CapGrantMessage{
+    { .mRound = round,
+      .mRequest = 3,
+      .mGrants = { { .mTenant = "t",
+                     .mGrant = { .mTokens = 5, .mWait = Millis{ 40 } },
+                     .mValidFor = Millis{ 350 } } } } });
   ExpectRoundTrip(LoadMessage{ .mLoad = kReply.mLoad,
                                .mStateVersion = 31,
                                .mFollowState = gateway::FollowState::Failing });
@@ -112,7 +126,15 @@
 RC_GTEST_PROP(PeerMessages, MalformedBytesDecodeToAMessageOrAnError, ())
 {
   std::string bytes = EncodeMessage(*rc::gen::element<PeerMessage>(
-    kCall, kReply, LoadMessage{}, RecordMessage{}, OperatorRowMessage{}));
+    kCall,
+    kReply,
+    LoadMessage{},
+    RecordMessage{},
+    OperatorRowMessage{},
+    CapReportMessage{
+      { .mLoan = gateway::CapLoan{}, .mWanted = { { "t", 12 } } } },
+    CapGrantMessage{
+      { .mRound = gateway::CapRound{}, .mGrants = { { .mTenant = "t" } } } }));
   const auto corruptedPositions = *rc::gen::container<std::vector<std::size_t>>(
     rc::gen::inRange<std::size_t>(0, bytes.size()));
   for (const std::size_t position : corruptedPositions) {
