--- a/libs/gateway/src/CapNode.cpp
+++ b/libs/gateway/src/CapNode.cpp
@@ -118,11 +118,13 @@
   }
   UpdateShare(aNow);
   ResignAfterFreeze(aNow);
-  if (!mIsCoordinator && aNow >= mHeardAt + kSilence &&
-      aNow >= mStartedAt + kStartDelay) {
+  // Nodes that start together must not all take over when their delay ends.
+  const Millis silentSince =
+    std::max(mHeardAt, mStartedAt + kStartDelay - kSilence);
+  if (!mIsCoordinator && aNow >= silentSince + kSilence) {
     const std::size_t rank = std::min(aView.mRank(), kMaxRank);
     mIsCoordinator =
-      aNow >= mHeardAt + kSilence + kRankDelay * static_cast<double>(rank);
+      aNow >= silentSince + kSilence + kRankDelay * static_cast<double>(rank);
     mRoundAt = {};
   }
   if (mIsCoordinator && aNow >= mRoundAt + kRoundPeriod) {
