Merge the enforcement of usage caps

Conflicts: both sides appended messages, metrics and members; the name of the tenant, which placement left empty, now comes from the code of usage caps.

--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -7,6 +7,7 @@
 
 #include <base/Error.h>
 #include <base/Millis.h>
+#include <gateway/CapMessages.h>
 #include <gateway/FollowerElection.h>
 #include <gateway/NodeRecord.h>
 #include <gateway/Placement.h>
@@ -213,6 +214,23 @@
   bool operator==(const EvacuationsMessage&) const = default;
 };
 
+/** Lends a part of the usage caps or requests tokens; sent to the relay and by
+ *  it to the coordinator. */
+struct CapReportMessage
+{
+  gateway::CapReport mReport;
+
+  bool operator==(const CapReportMessage&) const = default;
+};
+
+/** A round of the coordinator of the usage caps, or granted tokens. */
+struct CapGrantMessage
+{
+  gateway::CapAnswer mAnswer;
+
+  bool operator==(const CapGrantMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -226,7 +244,9 @@
                                  CrashMessage,
                                  SuspectCompletedMessage,
                                  QuarantineMessage,
-                                 EvacuationsMessage>;
+                                 EvacuationsMessage,
+                                 CapReportMessage,
+                                 CapGrantMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -85,6 +85,8 @@
   prometheus::Gauge& mLoopLag;
   prometheus::Gauge& mEvacuations;
   prometheus::Gauge& mOwnEvacuation;
+  prometheus::Gauge& mCapShare;
+  prometheus::Gauge& mCapHeld;
 };
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -109,8 +109,7 @@
   const std::size_t destination = rule->mRoundRobin.Next();
   const std::string& service =
     rule->mRule.mDestinations.at(destination).mService;
-  // Callers are not identified, so no request has a tenant.
-  const std::string tenant;
+  const std::string tenant = TenantOf(request);
   if (mStartupQueue.IsOpen(now) &&
       MayAwaitTarget(service, PlacementOf(rule->mRule, tenant)) &&
       TryHold(aExchange, aArrivedAt)) {
@@ -149,9 +148,8 @@
   active.mHeaders.Remove(names.mTimeLeft);
   mDeadlines.emplace(active.mDeadline, id);
   ArmDeadlineTimer();
-  mBudget.OnRequest(service, now);
   aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
-  Dispatch(id);
+  AdmitAndDispatch(id);
 }
 
 void
@@ -278,7 +276,8 @@
     return false;
   }
   const bool allowed =
-    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow());
+    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow()) &&
+    (notRun || mDependencies.mCaps.TryTake(aActive.mTenant));
   (allowed ? mDependencies.mMetrics.mRetries
            : mDependencies.mMetrics.mRetriesDenied)
     .Increment();
@@ -353,6 +352,9 @@
 const char*
 Dispatcher::StageOf(const ActiveRequest& aActive) const
 {
+  if (aActive.mWaitsForToken) {
+    return "held";
+  }
   if (aActive.mIsLocal) {
     return "local";
   }
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -10,6 +10,8 @@
 #include <base/JsonDepth.h>
 #include <net/SocketAddress.h>
 
+#include "CapMessageFormat.h"
+
 namespace papayaway::sidecar {
 
 using gateway::NodeRecord;
@@ -40,6 +42,8 @@
   SuspectCompleted,
   Quarantine,
   Evacuations,
+  CapReport,
+  CapGrant,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -438,6 +442,12 @@
         return { MessageType::Evacuations,
                  aValue.mEvacuations.mVersion,
                  aValue.mEvacuations.mDataCentres };
+      } else if constexpr (std::is_same_v<Message, CapReportMessage>) {
+        return CapReportToJson(static_cast<int>(MessageType::CapReport),
+                               aValue.mReport);
+      } else if constexpr (std::is_same_v<Message, CapGrantMessage>) {
+        return CapAnswerToJson(static_cast<int>(MessageType::CapGrant),
+                               aValue.mAnswer);
       } else {
         return ToJson(aValue);
       }
@@ -510,6 +520,10 @@
     }
     case MessageType::Evacuations:
       return EvacuationsFromJson(aList);
+    case MessageType::CapReport:
+      return CapReportMessage{ .mReport = CapReportFromJson(aList) };
+    case MessageType::CapGrant:
+      return CapGrantMessage{ .mAnswer = CapAnswerFromJson(aList) };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -85,6 +85,12 @@
   } else if (const auto* const evacuations =
                std::get_if<EvacuationsMessage>(&aMessage)) {
     OnEvacuations(aNode, *evacuations);
+  } else if (const auto* const report =
+               std::get_if<CapReportMessage>(&aMessage)) {
+    mCaps.OnReport(aNode, *report);
+  } else if (const auto* const grant =
+               std::get_if<CapGrantMessage>(&aMessage)) {
+    mCaps.OnGrant(aNode, InOwnDataCentre(aNode), *grant);
   }
 }
 
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -144,6 +144,12 @@
   , mOwnEvacuation(Gauge(mRegistry,
                          "papayaway_own_evacuation",
                          "Whether the data centre of this node is evacuated"))
+  , mCapShare(Gauge(mRegistry,
+                    "papayaway_cap_share",
+                    "Fraction of all usage caps that this node issues"))
+  , mCapHeld(Gauge(mRegistry,
+                   "papayaway_cap_held",
+                   "Requests waiting for a token of their tenant"))
 {
 }
 
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -82,6 +82,7 @@
   UpdateLinks();
   ApplyPendingState(now);
   mMesh.Tick(now);
+  mCaps.Tick();
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
   // At each tick: until a crash is reported, its request can crash the next
   // process of the target.
