Give calls of running requests the urgency of their parents

A target that serves a request calls other services through its node. Such a call was ordered by the priority of its own route, so it waited behind new requests and was refused for their sake.

CallParents finds the running request of a call by the remaining time that the call carries and by its route. The call inherits the priority of that request, goes before new requests of the same priority in the SlotQueue, and is refused only if it would miss its deadline. Active only with tenants or on nodes whose target reports its present speed.

--- a/libs/gateway/include/gateway/SlotQueue.h
+++ b/libs/gateway/include/gateway/SlotQueue.h
@@ -14,6 +14,9 @@
   std::uint64_t mId = 0;
   /** 0 is the most urgent. */
   int mPriority = 0;
+  /** Whether the request is a call of a running request, which would be wasted
+   *  without it. */
+  bool mNestedCall = false;
   /** The time at which the caller stops waiting. */
   Millis mDeadline;
   /** The time by which the request meets the latency objective of its route. */
@@ -39,8 +42,9 @@
 /**
  * Starts, queues or refuses the requests for the slots of one target.
  *
- * The most urgent waiting request is started first; requests of the same
- * priority are started in order of arrival. A request that would have to wait
+ * The most urgent waiting request is started first; of the same priority,
+ * calls of running requests are started before new requests, then the order of
+ * arrival decides. A request that would have to wait
  * and then miss its objective is refused at once, so that it can be sent to
  * another target or retried later. A waiting request is refused when more
  * urgent requests delay it so much that it would miss its objective.
@@ -80,8 +84,11 @@
 
   /** @param aPriority the priority of a new request.
    *  @param aRunTime the mean run time of the requests of its route.
+   *  @param aNestedCall whether it is a call of a running request.
    *  @return how long the request would wait for a slot. */
-  [[nodiscard]] Millis ExpectedWait(int aPriority, Millis aRunTime) const;
+  [[nodiscard]] Millis ExpectedWait(int aPriority,
+                                    Millis aRunTime,
+                                    bool aNestedCall = false) const;
 
   /** @return the number of started requests that hold a slot. */
   [[nodiscard]] int Running() const { return mStarted - mLostResponses; }
@@ -106,7 +113,8 @@
   int mStarted = 0;
   /** How many of these hold no slot, see SetLostResponses(). */
   int mLostResponses = 0;
-  /** Ordered by priority, then by arrival. */
+  /** Ordered by priority, then calls of running requests first, then by
+   *  arrival. */
   std::vector<SlotRequest> mWaiting;
 };
 
--- a/libs/gateway/src/SlotQueue.cpp
+++ b/libs/gateway/src/SlotQueue.cpp
@@ -1,9 +1,21 @@
 #include <gateway/SlotQueue.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaway::gateway {
 
+namespace {
+
+/** @return a key by which waiting requests are started in ascending order. */
+std::pair<int, bool>
+OrderKey(int aPriority, bool aNestedCall)
+{
+  return { aPriority, !aNestedCall };
+}
+
+} // namespace
+
 bool
 SlotQueue::ShouldRefuse(const SlotRequest& aRequest,
                         Millis aStart,
@@ -18,14 +30,15 @@
 }
 
 Millis
-SlotQueue::ExpectedWait(int aPriority, Millis aRunTime) const
+SlotQueue::ExpectedWait(int aPriority, Millis aRunTime, bool aNestedCall) const
 {
   if (Running() < mSlots && mWaiting.empty()) {
     return {};
   }
   Millis workAhead = aRunTime;
   for (const SlotRequest& waiting : mWaiting) {
-    if (waiting.mPriority <= aPriority) {
+    if (OrderKey(waiting.mPriority, waiting.mNestedCall) <=
+        OrderKey(aPriority, aNestedCall)) {
       workAhead += waiting.mRunTime;
     }
   }
@@ -45,7 +58,8 @@
     }
     return actions;
   }
-  const Millis wait = ExpectedWait(aRequest.mPriority, aRequest.mRunTime);
+  const Millis wait =
+    ExpectedWait(aRequest.mPriority, aRequest.mRunTime, aRequest.mNestedCall);
   if (ShouldRefuse(aRequest, aNow + wait, true)) {
     actions.mRefuse.push_back(aRequest.mId);
     return actions;
@@ -55,7 +69,8 @@
                      mWaiting.end(),
                      aRequest,
                      [](const SlotRequest& aNew, const SlotRequest& aOther) {
-                       return aNew.mPriority < aOther.mPriority;
+                       return OrderKey(aNew.mPriority, aNew.mNestedCall) <
+                              OrderKey(aOther.mPriority, aOther.mNestedCall);
                      });
   mWaiting.insert(position, aRequest);
   StartWaiting(aNow, actions);
--- a/libs/gateway/tests/SlotQueueTest.cpp
+++ b/libs/gateway/tests/SlotQueueTest.cpp
@@ -52,6 +52,26 @@
   EXPECT_EQ(queue.OnFinished({}).mStart, Ids{ 2 });
 }
 
+// Load: a burst of new requests and of calls of running requests.
+// Guards against runs that are wasted because their calls wait behind new
+// requests of the same priority, and against calls that overtake more urgent
+// requests.
+TEST(SlotQueue, CallsOfRunningRequestsAreStartedBeforeNewRequests)
+{
+  SlotQueue queue(1);
+  static_cast<void>(queue.Offer(Request(1), {}));
+  static_cast<void>(queue.Offer(Request(2, 1), {}));
+  static_cast<void>(queue.Offer(Request(3, 0), {}));
+  SlotRequest call = Request(4, 1);
+  call.mNestedCall = true;
+  static_cast<void>(queue.Offer(call, {}));
+  EXPECT_EQ(queue.ExpectedWait(1, kRunTime, true), kRunTime * 3);
+  EXPECT_EQ(queue.ExpectedWait(1, kRunTime), kRunTime * 4);
+  EXPECT_EQ(queue.OnFinished({}).mStart, Ids{ 3 });
+  EXPECT_EQ(queue.OnFinished({}).mStart, Ids{ 4 });
+  EXPECT_EQ(queue.OnFinished({}).mStart, Ids{ 2 });
+}
+
 // Guards against requests that wait during a burst and are refused only later:
 // a request that would miss its objective must be refused when it arrives.
 TEST(SlotQueue, RequestsThatWouldMissTheObjectiveAreRefusedAtOnce)
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -121,6 +121,9 @@
     Millis mDeadline;
     /** How long the caller waits for a response, counted from the arrival. */
     Millis mCallerTimeout;
+    /** The running request of the local target that made this request, if
+     *  any. */
+    std::optional<gateway::RunningParent> mParent;
     /** The number of attempts that reached a target. */
     int mTargetsReached = 0;
     /** The number of attempts refused before they reached a target. */
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include <base/Millis.h>
+#include <gateway/CallParents.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
 #include <http/ConnectProbe.h>
@@ -108,6 +109,27 @@
   /** Stops a call whose caller has gone away. Its callback does not run. */
   void Cancel(CallId aId);
 
+  /** Sets whether the desired state asks for the control of load by the calls
+   *  that running requests make. A target that reports its present speed asks
+   *  for it too. */
+  void SetLoadControl(bool aRequested) { mLoadControlRequested = aRequested; }
+
+  /** @return whether the control of load by calls is active on this node. */
+  [[nodiscard]] bool LoadControlActive() const
+  {
+    return mLoadControlRequested || mReportsSlowdown;
+  }
+
+  /** @param aRoute the route of a request that has arrived at this node.
+   *  @param aTimeLeft how long its sender waits, if it states it.
+   *  @param aArrivedAt when it arrived.
+   *  @return the running request that made it, or nullopt if it is not a call
+   *    of the local target. */
+  [[nodiscard]] std::optional<gateway::RunningParent> ParentOf(
+    const std::string& aRoute,
+    std::optional<Millis> aTimeLeft,
+    Millis aArrivedAt);
+
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
   {
@@ -182,6 +204,10 @@
   TargetClient mClient;
   gateway::SlotQueue mQueue{ 1 };
   gateway::RunTimes mRunTimes;
+  gateway::CallParents mCallParents;
+  bool mLoadControlRequested = false;
+  /** Whether the target has reported its present speed. */
+  bool mReportsSlowdown = false;
   /** The fraction of runs that succeeded, 0 to 1, as a moving average. */
   double mSuccessRate = 1;
   Millis mLastRunEnd;
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -60,6 +60,7 @@
 
 public:
   prometheus::Histogram& mRunTimes;
+  prometheus::Counter& mNestedCalls;
   prometheus::Counter& mRetries;
   prometheus::Counter& mRetriesDenied;
   prometheus::Counter& mBadInput;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -128,17 +128,20 @@
   }
   const std::uint64_t id = mNextId++;
   ActiveRequest& active = mActiveRequests[id];
-  active = ActiveRequest{ .mExchange = aExchange,
-                          .mTable = mTable,
-                          .mRule = &rule->mRule,
-                          .mService = service,
-                          .mVersion = mDependencies.mChooseVersion(service),
-                          .mRequestId = std::move(requestId),
-                          .mHeaders = EndToEndHeaders(request.mHeaders),
-                          .mArrivedAt = aArrivedAt,
-                          .mRoutedAt = now,
-                          .mDeadline = deadline,
-                          .mCallerTimeout = callerTimeout };
+  active =
+    ActiveRequest{ .mExchange = aExchange,
+                   .mTable = mTable,
+                   .mRule = &rule->mRule,
+                   .mService = service,
+                   .mVersion = mDependencies.mChooseVersion(service),
+                   .mRequestId = std::move(requestId),
+                   .mHeaders = EndToEndHeaders(request.mHeaders),
+                   .mArrivedAt = aArrivedAt,
+                   .mRoutedAt = now,
+                   .mDeadline = deadline,
+                   .mCallerTimeout = callerTimeout,
+                   .mParent = mDependencies.mLocalTarget.ParentOf(
+                     rule->mRule.mName, CallerTimeout(request), aArrivedAt) };
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
@@ -216,6 +219,13 @@
                       aActive.mArrivedAt + aActive.mRule->mObjective - now,
                     .mPriority = aActive.mRule->mPriority,
                     .mIdempotent = aActive.mRule->mIdempotent };
+  if (aActive.mParent) {
+    call.mNestedCall = true;
+    call.mPriority = aActive.mParent->mPriority;
+    // A refused call wastes the run that waits for it, so it is refused only if
+    // it can't end before its deadline.
+    call.mObjectiveLeft = call.mTimeLeft;
+  }
   aActive.mNode = aNode;
   aActive.mSentAt = now;
   aActive.mLink = 0;
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -301,6 +301,7 @@
   const SlotRequest request{
     .mId = id,
     .mPriority = aCall.mPriority,
+    .mNestedCall = aCall.mNestedCall,
     .mDeadline = deadline,
     .mObjective = now + aCall.mObjectiveLeft,
     .mRunTime = mRunTimes.Mean(aCall.mRoute) * slowdown,
@@ -356,6 +357,10 @@
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
   active.mStartedAt = now;
   active.mSentToTarget = true;
+  mCallParents.OnStarted(aId,
+                         { .mRoute = call.mRoute,
+                           .mPriority = call.mPriority,
+                           .mDeadline = now + timeLeft });
   active.mClientCall = mClient.Send(request, [this, aId](TargetResult aResult) {
     OnResult(aId, std::move(aResult));
   });
@@ -483,9 +488,10 @@
   }
   ReplyMessage reply{ .mOutcome = CallOutcome::NotRun,
                       .mReason = aReason,
-                      .mRetryAfter = mQueue.ExpectedWait(
-                        active.mCall.mPriority,
-                        mRunTimes.Mean(active.mCall.mRoute)) };
+                      .mRetryAfter =
+                        mQueue.ExpectedWait(active.mCall.mPriority,
+                                            mRunTimes.Mean(active.mCall.mRoute),
+                                            active.mCall.mNestedCall) };
   Finish(aId, std::move(reply));
 }
 
@@ -499,6 +505,7 @@
   const ActiveCall active = std::move(found->second);
   mActiveCalls.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  mCallParents.OnEnded(aId);
   aReply.mId = active.mCall.mId;
   aReply.mLoad = Load();
   active.mCallback(std::move(aReply));
@@ -514,6 +521,7 @@
   const ActiveCall active = std::move(found->second);
   mActiveCalls.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  mCallParents.OnEnded(aId);
   const char* const state = active.mSentToTarget ? "running" : "waiting";
   mMetrics.OnCancelled(state);
   if (mLog.ShouldWrite("cancelled", Category::Failure)) {
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -24,6 +24,7 @@
 LocalTargetProxy::OnLoadReport(const TargetReport& aReport)
 {
   const Millis now = SteadyNow();
+  mReportsSlowdown = mReportsSlowdown || aReport.mSlowdown.has_value();
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
       const ActiveCall& active = aEntry.second;
@@ -37,6 +38,21 @@
   Apply(mQueue.SetLostResponses(lost, now));
 }
 
+std::optional<gateway::RunningParent>
+LocalTargetProxy::ParentOf(const std::string& aRoute,
+                           std::optional<Millis> aTimeLeft,
+                           Millis aArrivedAt)
+{
+  if (!LoadControlActive()) {
+    return std::nullopt;
+  }
+  auto parent = mCallParents.Match(aRoute, aTimeLeft, aArrivedAt);
+  if (parent) {
+    mMetrics.mNestedCalls.Increment();
+  }
+  return parent;
+}
+
 double
 LocalTargetProxy::Slowdown() const
 {
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -81,6 +81,9 @@
                               "papayaway_run_milliseconds",
                               "Time of requests at the local target")
                 .Add({}, DurationBuckets()))
+  , mNestedCalls(Counter(mRegistry,
+                         "papayaway_nested_calls_total",
+                         "Requests recognised as calls of the local target"))
   , mRetries(Counter(mRegistry,
                      "papayaway_repeats_total",
                      "Requests sent to a second target"))
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -80,6 +80,7 @@
   const bool first = mRoutingTable == nullptr;
   mRoutingTable = std::make_shared<gateway::RoutingTable>(*state);
   mStateAppliedAt = SteadyNow();
+  mLocalTarget.SetLoadControl(!state->mTenants.empty());
   mDispatcher.SetRoutingTable(mRoutingTable);
   const gateway::RequestLimits& limits = state->mLimits;
   mCallerServer->SetLimits(
