Start fewer runs of a route while the calls they make are refused

A run whose call is refused fails and has used its slot and its other call for nothing. Giving calls the urgency of their parent isn't enough when the called service has too little capacity for all calls.

CallAdmission counts on the node of the calling target how the calls of each route end, and limits the rate of starts to what the called service serves. Requests over the rate are refused before they take a slot ("calls_refused"). A call now waits as long as its parent still meets its objective: until its deadline the waiting runs kept their slots from others.

Tested: test_gateway and test_sidecar pass with sanitizers.

--- a/libs/gateway/include/gateway/CallParents.h
+++ b/libs/gateway/include/gateway/CallParents.h
@@ -19,6 +19,8 @@
   int mPriority = 0;
   /** The deadline that the target was told, on the clock of the node. */
   Millis mDeadline;
+  /** When its calls must have ended so that it meets its objective. */
+  Millis mCallObjective;
 
   bool operator==(const RunningParent&) const = default;
 };
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -202,6 +202,9 @@
               const char* aReason,
               Millis aRetryAfter);
   void OnAbandoned(std::uint64_t aId);
+  /** Records the end of a call of the local target, if the request is one. */
+  void RecordNestedCall(const ActiveRequest& aActive,
+                        gateway::NestedCallEnd aEnd);
   void ArmDeadlineTimer();
   void OnDeadlineTimer();
 
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include <base/Millis.h>
+#include <gateway/CallAdmission.h>
 #include <gateway/CallParents.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
@@ -130,6 +131,20 @@
     std::optional<Millis> aTimeLeft,
     Millis aArrivedAt);
 
+  /** Records how a call that the local target made has ended.
+   *  @param aParentRoute the route of the request that made it.
+   *  @param aArrivedAt when the call arrived at this node. */
+  void OnNestedCallEnded(const std::string& aParentRoute,
+                         gateway::NestedCallEnd aEnd,
+                         Millis aArrivedAt);
+
+  /** @return how many routes start fewer requests because the calls that they
+   *    make are refused or late. */
+  [[nodiscard]] std::size_t LimitedRoutes() const
+  {
+    return mCallAdmission.LimitedRoutes();
+  }
+
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
   {
@@ -205,6 +220,7 @@
   gateway::SlotQueue mQueue{ 1 };
   gateway::RunTimes mRunTimes;
   gateway::CallParents mCallParents;
+  gateway::CallAdmission mCallAdmission;
   bool mLoadControlRequested = false;
   /** Whether the target has reported its present speed. */
   bool mReportsSlowdown = false;
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -61,6 +61,7 @@
 public:
   prometheus::Histogram& mRunTimes;
   prometheus::Counter& mNestedCalls;
+  prometheus::Counter& mParentsRefused;
   prometheus::Counter& mRetries;
   prometheus::Counter& mRetriesDenied;
   prometheus::Counter& mBadInput;
@@ -72,6 +73,7 @@
   prometheus::Counter& mLoopDelays;
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
+  prometheus::Gauge& mLimitedRoutes;
   prometheus::Gauge& mCallerConnections;
   prometheus::Gauge& mLinks;
   prometheus::Gauge& mStateVersion;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -222,9 +222,12 @@
   if (aActive.mParent) {
     call.mNestedCall = true;
     call.mPriority = aActive.mParent->mPriority;
-    // A refused call wastes the run that waits for it, so it is refused only if
-    // it can't end before its deadline.
-    call.mObjectiveLeft = call.mTimeLeft;
+    // A refused call wastes the run that waits for it, so it may wait as long
+    // as that run still meets its objective. If it waited until its deadline,
+    // the run would keep its slot from others for too long.
+    call.mObjectiveLeft = std::min(
+      call.mTimeLeft,
+      std::max(call.mObjectiveLeft, aActive.mParent->mCallObjective - now));
   }
   aActive.mNode = aNode;
   aActive.mSentAt = now;
@@ -372,6 +375,9 @@
   mActiveRequests.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
   const char* const stage = StageOf(active);
+  if (SteadyNow() >= active.mDeadline) {
+    RecordNestedCall(active, gateway::NestedCallEnd::RefusedOrLate);
+  }
   CancelAttempt(active);
   if (active.mLink != 0) {
     mDependencies.mMesh.Reply(active.mLink, CancelMessage{ .mId = aId });
--- a/libs/sidecar/src/DispatcherAnswers.cpp
+++ b/libs/sidecar/src/DispatcherAnswers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <string_view>
 
 namespace papayaway::sidecar {
 
@@ -16,6 +17,8 @@
 /** Retry-After varies randomly by this fraction in either direction, so that
  *  refused callers do not return at the same time. */
 constexpr double kRetryAfterJitter = 0.35;
+/** The origin of responses that a target has sent. */
+constexpr std::string_view kTargetOrigin = "target";
 
 std::string
 RetryAfterText(Millis aRetryAfter)
@@ -130,6 +133,11 @@
   mDeadlines.erase({ active.mDeadline, aId });
   const Millis time = SteadyNow() - active.mArrivedAt;
   const int status = aResponse.mStatus;
+  if (aOrigin == kTargetOrigin) {
+    RecordNestedCall(active, gateway::NestedCallEnd::Answered);
+  } else if (status == 503 || status == 504) {
+    RecordNestedCall(active, gateway::NestedCallEnd::RefusedOrLate);
+  }
   mDependencies.mMetrics.OnRequest(
     active.mRule->mName, std::to_string(status / 100) + "xx", time);
   if (mDependencies.mLog.ShouldWrite(
@@ -153,6 +161,16 @@
   active.mExchange->Respond(std::move(aResponse));
 }
 
+void
+Dispatcher::RecordNestedCall(const ActiveRequest& aActive,
+                             gateway::NestedCallEnd aEnd)
+{
+  if (aActive.mParent) {
+    mDependencies.mLocalTarget.OnNestedCallEnded(
+      aActive.mParent->mRoute, aEnd, aActive.mArrivedAt);
+  }
+}
+
 void
 Dispatcher::AnswerError(std::uint64_t aId, int aStatus, const char* aReason)
 {
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -39,6 +39,11 @@
 constexpr Millis kProbeTimeout = Seconds(1);
 /** The shortest time between two probes. */
 constexpr Millis kProbeInterval = Seconds(1);
+/** The fraction of a run that is left when its calls have ended; an estimate,
+ *  because targets do not report when they make calls. */
+constexpr double kRunAfterCalls = 0.5;
+/** Why a request is refused whose calls would probably be refused. */
+constexpr const char* kCallsRefused = "calls_refused";
 
 /** @return when the process that checks in started, on the steady clock, or
  *    nothing if it does not say so. */
@@ -317,6 +322,13 @@
     Refuse(id, reason);
     return id;
   }
+  const ActiveCall& active = mActiveCalls.at(id);
+  if (!active.mCall.mNestedCall &&
+      !mCallAdmission.TryAdmit(active.mCall.mRoute, now)) {
+    mMetrics.mParentsRefused.Increment();
+    Refuse(id, kCallsRefused);
+    return id;
+  }
   mDeadlines.emplace(deadline, id);
   ArmDeadlineTimer();
   Apply(mQueue.Offer(request, now));
@@ -334,6 +346,10 @@
     Start(id);
   }
   for (const CallId id : aActions.mRefuse) {
+    const auto found = mActiveCalls.find(id);
+    if (found != mActiveCalls.end() && !found->second.mCall.mNestedCall) {
+      mCallAdmission.OnNotStarted(found->second.mCall.mRoute);
+    }
     Refuse(id, "no_slot_in_time");
   }
 }
@@ -357,10 +373,13 @@
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
   active.mStartedAt = now;
   active.mSentToTarget = true;
-  mCallParents.OnStarted(aId,
-                         { .mRoute = call.mRoute,
-                           .mPriority = call.mPriority,
-                           .mDeadline = now + timeLeft });
+  mCallParents.OnStarted(
+    aId,
+    { .mRoute = call.mRoute,
+      .mPriority = call.mPriority,
+      .mDeadline = now + timeLeft,
+      .mCallObjective = active.mArrivedAt + call.mObjectiveLeft -
+                        mRunTimes.Mean(call.mRoute) * kRunAfterCalls });
   active.mClientCall = mClient.Send(request, [this, aId](TargetResult aResult) {
     OnResult(aId, std::move(aResult));
   });
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -53,6 +53,14 @@
   return parent;
 }
 
+void
+LocalTargetProxy::OnNestedCallEnded(const std::string& aParentRoute,
+                                    gateway::NestedCallEnd aEnd,
+                                    Millis aArrivedAt)
+{
+  mCallAdmission.OnCallEnded(aParentRoute, aEnd, aArrivedAt, SteadyNow());
+}
+
 double
 LocalTargetProxy::Slowdown() const
 {
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -84,6 +84,10 @@
   , mNestedCalls(Counter(mRegistry,
                          "papayaway_nested_calls_total",
                          "Requests recognised as calls of the local target"))
+  , mParentsRefused(
+      Counter(mRegistry,
+              "papayaway_parents_refused_total",
+              "Requests not started because calls of their route are refused"))
   , mRetries(Counter(mRegistry,
                      "papayaway_repeats_total",
                      "Requests sent to a second target"))
@@ -118,6 +122,9 @@
   , mWaiting(Gauge(mRegistry,
                    "papayaway_waiting",
                    "Requests waiting for a slot of the local target"))
+  , mLimitedRoutes(Gauge(mRegistry,
+                         "papayaway_limited_routes",
+                         "Routes with fewer starts because calls are refused"))
   , mCallerConnections(Gauge(mRegistry,
                              "papayaway_caller_connections",
                              "Open connections of callers"))
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -94,6 +94,8 @@
     const gateway::TargetLoad load = mLocalTarget.Load();
     mMetrics.mRunning.Set(load.mRunning);
     mMetrics.mWaiting.Set(load.mWaiting);
+    mMetrics.mLimitedRoutes.Set(
+      static_cast<double>(mLocalTarget.LimitedRoutes()));
     mMetrics.mCallerConnections.Set(
       static_cast<double>(mCallerServer->Connections()));
     mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
