--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -131,6 +131,9 @@
     Millis mDeadline;
     /** How long the caller waits for a response, counted from the arrival. */
     Millis mCallerTimeout;
+    /** The running request of the local target that made this request, if
+     *  any. */
+    std::optional<gateway::RunningParent> mParent;
     /** The number of attempts that reached a target. */
     int mTargetsReached = 0;
     /** The number of attempts refused before they reached a target. */
@@ -230,6 +233,9 @@
               const char* aReason,
               Millis aRetryAfter);
   void OnAbandoned(std::uint64_t aId);
+  /** Records the end of a call of the local target, if the request is one. */
+  void RecordNestedCall(const ActiveRequest& aActive,
+                        gateway::NestedCallEnd aEnd);
   void ArmDeadlineTimer();
   void OnDeadlineTimer();
 
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include <base/Millis.h>
+#include <gateway/CallAdmission.h>
+#include <gateway/CallParents.h>
 #include <gateway/ColdRateLimiter.h>
 #include <gateway/DesiredState.h>
 #include <gateway/RunTimes.h>
@@ -124,6 +126,40 @@
   /** Refuses the waiting calls that may no longer run here. To be called when
    *  an evacuation or the desired state has changed. */
   void RefuseMisplaced();
+  /** Sets whether the desired state asks for the control of load by the calls
+   *  that running requests make. A target that reports its present speed asks
+   *  for it too. */
+  void SetLoadControl(bool aRequested) { mLoadControlRequested = aRequested; }
+
+  /** @return whether the control of load by calls is active on this node. */
+  [[nodiscard]] bool LoadControlActive() const
+  {
+    return mLoadControlRequested || mReportsSlowdown;
+  }
+
+  /** @param aRoute the route of a request that has arrived at this node.
+   *  @param aTimeLeft how long its sender waits, if it states it.
+   *  @param aArrivedAt when it arrived.
+   *  @return the running request that made it, or nullopt if it is not a call
+   *    of the local target. */
+  [[nodiscard]] std::optional<gateway::RunningParent> ParentOf(
+    const std::string& aRoute,
+    std::optional<Millis> aTimeLeft,
+    Millis aArrivedAt);
+
+  /** Records how a call that the local target made has ended.
+   *  @param aParentRoute the route of the request that made it.
+   *  @param aArrivedAt when the call arrived at this node. */
+  void OnNestedCallEnded(const std::string& aParentRoute,
+                         gateway::NestedCallEnd aEnd,
+                         Millis aArrivedAt);
+
+  /** @return how many routes start fewer requests because the calls that they
+   *    make are refused or late. */
+  [[nodiscard]] std::size_t LimitedRoutes() const
+  {
+    return mCallAdmission.LimitedRoutes();
+  }
 
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
@@ -201,6 +237,11 @@
   TargetClient mClient;
   gateway::SlotQueue mQueue{ 1 };
   gateway::RunTimes mRunTimes;
+  gateway::CallParents mCallParents;
+  gateway::CallAdmission mCallAdmission;
+  bool mLoadControlRequested = false;
+  /** Whether the target has reported its present speed. */
+  bool mReportsSlowdown = false;
   /** The fraction of runs that succeeded, 0 to 1, as a moving average. */
   double mSuccessRate = 1;
   Millis mLastRunEnd;
--- a/libs/sidecar/include/sidecar/SidecarMetrics.h
+++ b/libs/sidecar/include/sidecar/SidecarMetrics.h
@@ -65,6 +65,8 @@
 
 public:
   prometheus::Histogram& mRunTimes;
+  prometheus::Counter& mNestedCalls;
+  prometheus::Counter& mParentsRefused;
   prometheus::Counter& mRetries;
   prometheus::Counter& mRetriesDenied;
   prometheus::Counter& mBadInput;
@@ -78,6 +80,7 @@
   prometheus::Gauge& mRunning;
   prometheus::Gauge& mWaiting;
   prometheus::Gauge& mAdmissionRate;
+  prometheus::Gauge& mLimitedRoutes;
   prometheus::Gauge& mCallerConnections;
   prometheus::Gauge& mLinks;
   prometheus::Gauge& mStateVersion;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -131,18 +131,21 @@
   }
   const std::uint64_t id = mNextId++;
   ActiveRequest& active = mActiveRequests[id];
-  active = ActiveRequest{ .mExchange = aExchange,
-                          .mTable = mTable,
-                          .mRule = &rule->mRule,
-                          .mService = service,
-                          .mVersion = mDependencies.mChooseVersion(service),
-                          .mRequestId = std::move(requestId),
-                          .mTenant = tenant,
-                          .mHeaders = EndToEndHeaders(request.mHeaders),
-                          .mArrivedAt = aArrivedAt,
-                          .mRoutedAt = now,
-                          .mDeadline = deadline,
-                          .mCallerTimeout = callerTimeout };
+  active =
+    ActiveRequest{ .mExchange = aExchange,
+                   .mTable = mTable,
+                   .mRule = &rule->mRule,
+                   .mService = service,
+                   .mVersion = mDependencies.mChooseVersion(service),
+                   .mRequestId = std::move(requestId),
+                   .mTenant = tenant,
+                   .mHeaders = EndToEndHeaders(request.mHeaders),
+                   .mArrivedAt = aArrivedAt,
+                   .mRoutedAt = now,
+                   .mDeadline = deadline,
+                   .mCallerTimeout = callerTimeout,
+                   .mParent = mDependencies.mLocalTarget.ParentOf(
+                     rule->mRule.mName, CallerTimeout(request), aArrivedAt) };
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
@@ -222,6 +225,16 @@
                     .mPriority = aActive.mRule->mPriority,
                     .mIdempotent = aActive.mRule->mIdempotent,
                     .mTenant = aActive.mTenant };
+  if (aActive.mParent) {
+    call.mNestedCall = true;
+    call.mPriority = aActive.mParent->mPriority;
+    // A refused call wastes the run that waits for it, so it may wait as long
+    // as that run still meets its objective. If it waited until its deadline,
+    // the run would keep its slot from others for too long.
+    call.mObjectiveLeft = std::min(
+      call.mTimeLeft,
+      std::max(call.mObjectiveLeft, aActive.mParent->mCallObjective - now));
+  }
   aActive.mNode = aNode;
   aActive.mSentAt = now;
   aActive.mLink = 0;
@@ -372,6 +385,9 @@
   mActiveRequests.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
   const char* const stage = StageOf(active);
+  if (SteadyNow() >= active.mDeadline) {
+    RecordNestedCall(active, gateway::NestedCallEnd::RefusedOrLate);
+  }
   CancelAttempt(active);
   if (active.mLink != 0) {
     mDependencies.mMesh.Reply(active.mLink, CancelMessage{ .mId = aId });
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -41,6 +41,11 @@
 constexpr Millis kProbeTimeout = Seconds(1);
 /** The shortest time between two probes. */
 constexpr Millis kProbeInterval = Seconds(1);
+/** The fraction of a run that is left when its calls have ended; an estimate,
+ *  because targets do not report when they make calls. */
+constexpr double kRunAfterCalls = 0.5;
+/** Why a request is refused whose calls would probably be refused. */
+constexpr const char* kCallsRefused = "calls_refused";
 
 /** The reason of a refusal because the target is cold and has got the requests
  *  that it tolerates in a second. */
@@ -350,6 +355,7 @@
   const SlotRequest request{
     .mId = id,
     .mPriority = aCall.mPriority,
+    .mNestedCall = aCall.mNestedCall,
     .mDeadline = deadline,
     .mObjective = now + aCall.mObjectiveLeft,
     .mRunTime = mRunTimes.Mean(aCall.mRoute) * slowdown,
@@ -365,6 +371,13 @@
     Refuse(id, reason);
     return id;
   }
+  const ActiveCall& active = mActiveCalls.at(id);
+  if (!active.mCall.mNestedCall &&
+      !mCallAdmission.TryAdmit(active.mCall.mRoute, now)) {
+    mMetrics.mParentsRefused.Increment();
+    Refuse(id, kCallsRefused);
+    return id;
+  }
   mDeadlines.emplace(deadline, id);
   ArmDeadlineTimer();
   Apply(mQueue.Offer(request, now));
@@ -382,6 +395,10 @@
     Start(id);
   }
   for (const CallId id : aActions.mRefuse) {
+    const auto found = mActiveCalls.find(id);
+    if (found != mActiveCalls.end() && !found->second.mCall.mNestedCall) {
+      mCallAdmission.OnNotStarted(found->second.mCall.mRoute);
+    }
     Refuse(id, "no_slot_in_time");
   }
 }
@@ -412,6 +429,13 @@
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
   active.mStartedAt = now;
   active.mSentToTarget = true;
+  mCallParents.OnStarted(
+    aId,
+    { .mRoute = call.mRoute,
+      .mPriority = call.mPriority,
+      .mDeadline = now + timeLeft,
+      .mCallObjective = active.mArrivedAt + call.mObjectiveLeft -
+                        mRunTimes.Mean(call.mRoute) * kRunAfterCalls });
   active.mClientCall = mClient.Send(request, [this, aId](TargetResult aResult) {
     OnResult(aId, std::move(aResult));
   });
@@ -547,9 +571,10 @@
   }
   ReplyMessage reply{ .mOutcome = CallOutcome::NotRun,
                       .mReason = aReason,
-                      .mRetryAfter = mQueue.ExpectedWait(
-                        active.mCall.mPriority,
-                        mRunTimes.Mean(active.mCall.mRoute)) };
+                      .mRetryAfter =
+                        mQueue.ExpectedWait(active.mCall.mPriority,
+                                            mRunTimes.Mean(active.mCall.mRoute),
+                                            active.mCall.mNestedCall) };
   if (aReason == kColdRateReason) {
     const Millis now = SteadyNow();
     mColdLimiter.OnHandedBack(now);
@@ -570,6 +595,7 @@
   const ActiveCall active = std::move(found->second);
   mActiveCalls.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  mCallParents.OnEnded(aId);
   aReply.mId = active.mCall.mId;
   aReply.mLoad = Load();
   active.mCallback(std::move(aReply));
@@ -585,6 +611,7 @@
   const ActiveCall active = std::move(found->second);
   mActiveCalls.erase(found);
   mDeadlines.erase({ active.mDeadline, aId });
+  mCallParents.OnEnded(aId);
   const char* const state = active.mSentToTarget ? "running" : "waiting";
   mMetrics.OnCancelled(state);
   if (mLog.ShouldWrite("cancelled", Category::Failure)) {
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -29,6 +29,7 @@
 LocalTargetProxy::OnLoadReport(const TargetReport& aReport)
 {
   const Millis now = SteadyNow();
+  mReportsSlowdown = mReportsSlowdown || aReport.mSlowdown.has_value();
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
       const ActiveCall& active = aEntry.second;
@@ -60,6 +61,29 @@
   mColdLimiter.OnResponse(Millis{ static_cast<double>(millis) }, SteadyNow());
 }
 
+std::optional<gateway::RunningParent>
+LocalTargetProxy::ParentOf(const std::string& aRoute,
+                           std::optional<Millis> aTimeLeft,
+                           Millis aArrivedAt)
+{
+  if (!LoadControlActive()) {
+    return std::nullopt;
+  }
+  auto parent = mCallParents.Match(aRoute, aTimeLeft, aArrivedAt);
+  if (parent) {
+    mMetrics.mNestedCalls.Increment();
+  }
+  return parent;
+}
+
+void
+LocalTargetProxy::OnNestedCallEnded(const std::string& aParentRoute,
+                                    gateway::NestedCallEnd aEnd,
+                                    Millis aArrivedAt)
+{
+  mCallAdmission.OnCallEnded(aParentRoute, aEnd, aArrivedAt, SteadyNow());
+}
+
 double
 LocalTargetProxy::Slowdown() const
 {
--- a/libs/sidecar/src/SidecarMetrics.cpp
+++ b/libs/sidecar/src/SidecarMetrics.cpp
@@ -84,6 +84,13 @@
                               "papayaway_run_milliseconds",
                               "Time of requests at the local target")
                 .Add({}, DurationBuckets()))
+  , mNestedCalls(Counter(mRegistry,
+                         "papayaway_nested_calls_total",
+                         "Requests recognised as calls of the local target"))
+  , mParentsRefused(
+      Counter(mRegistry,
+              "papayaway_parents_refused_total",
+              "Requests not started because calls of their route are refused"))
   , mRetries(Counter(mRegistry,
                      "papayaway_repeats_total",
                      "Requests sent to a second target"))
@@ -126,6 +133,9 @@
                          "papayaway_admission_rate",
                          "Requests a second admitted by the local target's "
                          "node, -1 without a limit"))
+  , mLimitedRoutes(Gauge(mRegistry,
+                         "papayaway_limited_routes",
+                         "Routes with fewer starts because calls are refused"))
   , mCallerConnections(Gauge(mRegistry,
                              "papayaway_caller_connections",
                              "Open connections of callers"))
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -90,6 +90,7 @@
   mRoutingTable = std::make_shared<gateway::RoutingTable>(*state);
   mStateAppliedAt = SteadyNow();
   mCaps.SetTenants(state->mTenants);
+  mLocalTarget.SetLoadControl(!state->mTenants.empty());
   mDispatcher.SetRoutingTable(mRoutingTable);
   ApplyServiceRules(*state);
   mLocalTarget.RefuseMisplaced();
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -99,6 +99,8 @@
     mMetrics.mRunning.Set(load.mRunning);
     mMetrics.mWaiting.Set(load.mWaiting);
     mMetrics.mAdmissionRate.Set(load.mAdmissionRate.value_or(-1));
+    mMetrics.mLimitedRoutes.Set(
+      static_cast<double>(mLocalTarget.LimitedRoutes()));
     mMetrics.mCallerConnections.Set(
       static_cast<double>(mCallerServer->Connections()));
     mMetrics.mLinks.Set(static_cast<double>(mMesh.LinkCount()));
