Send the evacuations ahead of a refusal because of them

Cause: an entry node that missed an evacuation was refused by one target after the other there, and gave up after four refusals.

Change: the target's node sends its set before such a refusal, on the same link, so the entry node reroutes the request with it.

--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -199,6 +199,9 @@
   /** Sends the evacuations to the sender of a load message that shows other
    *  ones. */
   void RepairEvacuations(LinkId aLink, const LoadMessage& aMessage);
+  /** Sends the evacuations ahead of a refusal because of them, so that the
+   *  sender of the call does not choose another target there. */
+  void InformOfEvacuation(LinkId aLink, const ReplyMessage& aReply);
   /** @return why the call may not run at the local target's place, or nullptr
    *    if it may. */
   [[nodiscard]] const char* PlacementRefusal(const CallMessage& aCall) const;
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -153,6 +153,7 @@
     std::move(aCall), [this, key, answered](ReplyMessage aReply) {
       *answered = true;
       mPeerCalls.erase(key);
+      InformOfEvacuation(key.first, aReply);
       mMesh.Reply(key.first, std::move(aReply));
     });
   if (!*answered) {
--- a/libs/sidecar/src/SidecarPlacement.cpp
+++ b/libs/sidecar/src/SidecarPlacement.cpp
@@ -5,6 +5,13 @@
 
 namespace papayaway::sidecar {
 
+namespace {
+
+/** Why a call is refused during the evacuation of its target's data centre. */
+constexpr const char* kEvacuated = "data_centre_evacuated";
+
+} // namespace
+
 void
 Sidecar::Impl::OnOperatorRowsRead(const RowList& aList, bool aWholeTable)
 {
@@ -43,11 +50,19 @@
   }
 }
 
+void
+Sidecar::Impl::InformOfEvacuation(LinkId aLink, const ReplyMessage& aReply)
+{
+  if (aReply.mReason == kEvacuated) {
+    mMesh.Reply(aLink, mEvacuations.Message());
+  }
+}
+
 const char*
 Sidecar::Impl::PlacementRefusal(const CallMessage& aCall) const
 {
   if (mEvacuations.IsOwnDataCentreEvacuated()) {
-    return "data_centre_evacuated";
+    return kEvacuated;
   }
   if (mRoutingTable && !mRoutingTable->Placements()
                           .For(aCall.mRoute, aCall.mTenant)
