Identify tenants by their keys at the entry node

Cause: the desired state may have tenants, but nodes served requests without a key, sent keys to targets, and passed a tenant header that the caller had made up.

Change: each routing table has a TenantDirectory, which finds the tenant of a key. The dispatcher answers 401 without exactly one known key, except on public routes and never without a desired state. It removes the credential and tenant headers, and the node of the target sets the tenant header from CallMessage::mTenant. Tenant and route priorities are combined into one number for CallMessage::mPriority. When a new state lacks the tenant or key of a request that waits at a target's node, the entry node withdraws it (WithdrawMessage) and answers 401; requests that run are finished.

--- a/libs/gateway/include/gateway/RoutingTable.h
+++ b/libs/gateway/include/gateway/RoutingTable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <gateway/DesiredState.h>
+#include <gateway/TenantDirectory.h>
 
 namespace papayaway::gateway {
 
@@ -56,6 +57,12 @@
 
   [[nodiscard]] const DesiredState& State() const { return mState; }
 
+  /** @return the tenants of this version; never null. */
+  [[nodiscard]] const std::shared_ptr<const TenantDirectory>& Tenants() const
+  {
+    return mTenants;
+  }
+
 private:
   struct StringHash
   {
@@ -70,6 +77,7 @@
     std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
   DesiredState mState;
+  std::shared_ptr<const TenantDirectory> mTenants;
   /** By host name, then by path prefix. */
   StringMap<StringMap<std::unique_ptr<ActiveRule>>> mHosts;
 };
--- a/libs/gateway/src/RoutingTable.cpp
+++ b/libs/gateway/src/RoutingTable.cpp
@@ -50,6 +50,7 @@
 
 RoutingTable::RoutingTable(DesiredState aState)
   : mState(std::move(aState))
+  , mTenants(std::make_shared<const TenantDirectory>(mState.mTenants))
 {
   for (const auto& [host, rules] : mState.mHosts) {
     auto& rulesByPrefix = mHosts[NormalizedHostName(host)];
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -101,6 +101,8 @@
   /** The longest Retry-After, as a fraction of the caller's remaining time.
    *  Callers obey values of up to a third of it. */
   static constexpr double kMaxRetryAfterFraction = 0.3;
+  /** Why requests are answered with 401. */
+  static constexpr const char* kUnknownCredential = "unknown_credential";
 
   struct ActiveRequest
   {
@@ -110,6 +112,13 @@
     const gateway::RouteRule* mRule = nullptr;
     std::string mService;
     VersionChoice mVersion;
+    /** The name of the tenant that sent the request; empty if there is none. */
+    std::string mTenant;
+    /** Combines the priorities of tenant and route. */
+    int mPriority = 0;
+    /** Whether the tenant or its key was removed after the request had been
+     *  sent to a node. No further attempt is made. */
+    bool mRevoked = false;
     std::string mRequestId;
     HttpHeaders mHeaders;
     Millis mArrivedAt;
@@ -163,6 +172,15 @@
   /** @return how long the caller waits, if the request states it. */
   [[nodiscard]] std::optional<Millis> CallerTimeout(
     const HttpMessage& aRequest) const;
+  /** @return who sent the request, according to the desired state in force. */
+  [[nodiscard]] gateway::CallerIdentity Identify(const HttpMessage& aRequest,
+                                                 bool aPublic) const;
+  /** Withdraws the requests that the desired state in force no longer accepts
+   *  from nodes where they wait. Those that have started continue. */
+  void RevokeRequests();
+  /** Answers a request of a removed tenant or key after an attempt that brought
+   *  no response. */
+  void AnswerRevoked(std::uint64_t aId);
   void Route(const std::shared_ptr<CallerExchange>& aExchange,
              Millis aArrivedAt);
   /** Chooses a target for the next attempt and sends the request, or answers
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -108,6 +108,10 @@
   /** Stops a call whose caller has gone away. Its callback does not run. */
   void Cancel(CallId aId);
 
+  /** Refuses a call that still waits for a slot. One that has been sent to the
+   *  target continues. */
+  void Withdraw(CallId aId);
+
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
   {
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -200,6 +200,16 @@
   bool operator==(const QuarantineMessage&) const = default;
 };
 
+/** Asks to refuse a call if it still waits at the receiver, because its tenant
+ *  or the key that it came with was removed. It is always answered by the reply
+ *  to the call. */
+struct WithdrawMessage
+{
+  std::uint64_t mId = 0;
+
+  bool operator==(const WithdrawMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -212,7 +222,8 @@
                                  OperatorRowMessage,
                                  CrashMessage,
                                  SuspectCompletedMessage,
-                                 QuarantineMessage>;
+                                 QuarantineMessage,
+                                 WithdrawMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -60,6 +60,7 @@
 Dispatcher::SetRoutingTable(std::shared_ptr<gateway::RoutingTable> aTable)
 {
   mTable = std::move(aTable);
+  RevokeRequests();
   ReleaseHeld();
 }
 
@@ -96,6 +97,12 @@
     Refuse(*aExchange, requestId, 404, "no_route", {});
     return;
   }
+  const gateway::CallerIdentity identity =
+    Identify(request, rule->mRule.mPublic);
+  if (!identity.mAccepted) {
+    Refuse(*aExchange, requestId, 401, kUnknownCredential, {});
+    return;
+  }
   if (requestId.empty()) {
     Refuse(*aExchange, requestId, 400, "no_request_id", {});
     return;
@@ -133,6 +140,11 @@
                           .mRule = &rule->mRule,
                           .mService = service,
                           .mVersion = mDependencies.mChooseVersion(service),
+                          .mTenant = identity.mTenant == nullptr
+                                       ? std::string()
+                                       : identity.mTenant->mName,
+                          .mPriority = mTable->Tenants()->Priority(
+                            identity.mTenant, rule->mRule.mPriority),
                           .mRequestId = std::move(requestId),
                           .mHeaders = EndToEndHeaders(request.mHeaders),
                           .mArrivedAt = aArrivedAt,
@@ -142,6 +154,10 @@
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
+  active.mHeaders.Remove(names.mCredential);
+  if (mTable->Tenants()->IsActive()) {
+    active.mHeaders.Remove(names.mTenant);
+  }
   mDeadlines.emplace(active.mDeadline, id);
   ArmDeadlineTimer();
   mBudget.OnRequest(service, now);
@@ -214,8 +230,9 @@
                     .mTimeLeft = aActive.mDeadline - now,
                     .mObjectiveLeft =
                       aActive.mArrivedAt + aActive.mRule->mObjective - now,
-                    .mPriority = aActive.mRule->mPriority,
-                    .mIdempotent = aActive.mRule->mIdempotent };
+                    .mPriority = aActive.mPriority,
+                    .mIdempotent = aActive.mRule->mIdempotent,
+                    .mTenant = aActive.mTenant };
   aActive.mNode = aNode;
   aActive.mSentAt = now;
   aActive.mLink = 0;
@@ -315,6 +332,10 @@
                       .mBody = active.mLastReply.mBody };
   }
   active.mExcluded.push_back(active.mNode);
+  if (active.mRevoked) {
+    AnswerRevoked(aId);
+    return;
+  }
   if (notRun && !active.mLastReply.mReachedTarget) {
     // This attempt reached no target, so sending the request to another node is
     // not a retry and does not use the retry budget.
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -354,6 +354,9 @@
   request.mMessage.mHeaders.Set(names.mTimeLeft,
                                 std::to_string(timeLeft.WholeMillis()));
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
+  if (!call.mTenant.empty()) {
+    request.mMessage.mHeaders.Set(names.mTenant, call.mTenant);
+  }
   active.mStartedAt = now;
   active.mSentToTarget = true;
   active.mClientCall = mClient.Send(request, [this, aId](TargetResult aResult) {
@@ -534,6 +537,14 @@
   }
 }
 
+void
+LocalTargetProxy::Withdraw(CallId aId)
+{
+  if (mQueue.Cancel(aId)) {
+    Refuse(aId, "withdrawn");
+  }
+}
+
 void
 LocalTargetProxy::ArmDeadlineTimer()
 {
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -39,6 +39,7 @@
   Crash,
   SuspectCompleted,
   Quarantine,
+  Withdraw,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -401,6 +402,8 @@
                            fact.mExpires.WholeMillis() });
         }
         return list;
+      } else if constexpr (std::is_same_v<Message, WithdrawMessage>) {
+        return { MessageType::Withdraw, aValue.mId };
       } else {
         return ToJson(aValue);
       }
@@ -468,6 +471,8 @@
       }
       return message;
     }
+    case MessageType::Withdraw:
+      return WithdrawMessage{ .mId = aList.at(1).get<std::uint64_t>() };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -158,6 +158,7 @@
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
+  void OnWithdraw(LinkId aLink, const WithdrawMessage& aWithdraw);
   void ServeReceivedCalls();
   void ServeCall(LinkId aLink, CallMessage aCall);
   void OnLinkLost(LinkId aLink, bool aWasOpen);
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -82,6 +82,9 @@
   } else if (const auto* const quarantine =
                std::get_if<QuarantineMessage>(&aMessage)) {
     mCrashes.OnQuarantined(*quarantine);
+  } else if (const auto* const withdraw =
+               std::get_if<WithdrawMessage>(&aMessage)) {
+    OnWithdraw(aLink, *withdraw);
   }
 }
 
@@ -122,6 +125,23 @@
   mLocalTarget.Cancel(id);
 }
 
+void
+Sidecar::Impl::OnWithdraw(LinkId aLink, const WithdrawMessage& aWithdraw)
+{
+  if (mReceivedCalls.erase({ aLink, aWithdraw.mId }) > 0) {
+    mMesh.Reply(aLink,
+                ReplyMessage{ .mId = aWithdraw.mId,
+                              .mOutcome = CallOutcome::NotRun,
+                              .mReason = "withdrawn",
+                              .mLoad = mLocalTarget.Load() });
+    return;
+  }
+  const auto found = mPeerCalls.find({ aLink, aWithdraw.mId });
+  if (found != mPeerCalls.end()) {
+    mLocalTarget.Withdraw(found->second);
+  }
+}
+
 void
 Sidecar::Impl::ServeReceivedCalls()
 {
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -52,6 +52,7 @@
   ExpectRoundTrip(kCall);
   ExpectRoundTrip(kReply);
   ExpectRoundTrip(CancelMessage{ .mId = 9 });
+  ExpectRoundTrip(WithdrawMessage{ .mId = 9 });
   ExpectRoundTrip(LoadMessage{ .mLoad = kReply.mLoad,
                                .mStateVersion = 31,
                                .mFollowState = gateway::FollowState::Failing });
