Accept keys only with a desired state that is new enough

Cause: a restarted node takes its desired state from the first node that answers, which may lack a version that others have, and then accepts keys that the others refuse. A region of which no node reaches the store noticed changes only from load messages, after up to 3.5 s by the delays in SidecarMessages.cpp. A node that started while the newest row was malformed had no state at all. The settings for strict revocation had no effect.

Change: StateFreshness decides whether requests of tenants may be served. In its first 10 s a process refuses them with 503 (or holds them, as other requests at startup) while another node reports a newer version, and queries that node after 50 ms. With strict_revocation it also refuses them without a confirmation within revocation_ms; load messages carry the age of the sender's confirmation only then. Its clock goes on while the host is suspended, and reports that arrived meanwhile do not count. If there are tenants, changed rows are also sent to link nodes of other regions. A node keeps the state in force when a newer row is malformed, and gives it to nodes that start.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -56,6 +56,8 @@
   Random& mRandom;
   /** Chooses the versions allowed for one request of a service. */
   std::function<VersionChoice(const std::string&)> mChooseVersion;
+  /** @return why requests of tenants must be refused now, or nullptr. */
+  std::function<const char*()> mTenantRefusal;
 };
 
 /**
@@ -175,6 +177,13 @@
   /** @return who sent the request, according to the desired state in force. */
   [[nodiscard]] gateway::CallerIdentity Identify(const HttpMessage& aRequest,
                                                  bool aPublic) const;
+  /** Holds or refuses a request of a tenant while the desired state is too old
+   *  to accept its key.
+   *  @return whether the request was held or refused. */
+  [[nodiscard]] bool RefuseTenantInDoubt(
+    const std::shared_ptr<CallerExchange>& aExchange,
+    Millis aArrivedAt,
+    const std::string& aRequestId);
   /** Withdraws the requests that the desired state in force no longer accepts
    *  from nodes where they wait. Those that have started continue. */
   void RevokeRequests();
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -110,6 +111,9 @@
   /** Whether the sender follows the operator rows in the store, and whether
    *  that works. */
   gateway::FollowState mFollowState = gateway::FollowState::Idle;
+  /** How long ago it was confirmed that this version is the newest, if the
+   *  settings of the sender require that. */
+  std::optional<Millis> mConfirmedAgo;
 
   bool operator==(const LoadMessage&) const = default;
 };
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -24,6 +24,9 @@
   /** Called with a new or changed operator row and the row that it
    *  replaces. */
   std::function<void(const Row& aOld, const Row& aNew)> mOperatorRowChanged;
+  /** Called when the store has answered with all changes of the operator rows,
+   *  or that there are none, after they were merged. */
+  std::function<void()> mOperatorRowsRead;
   /** Called with the stored record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecordRead;
   /** Called with rollout progress that was read from or written to the store.
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -103,6 +103,10 @@
     Refuse(*aExchange, requestId, 401, kUnknownCredential, {});
     return;
   }
+  if (identity.mTenant != nullptr &&
+      RefuseTenantInDoubt(aExchange, aArrivedAt, requestId)) {
+    return;
+  }
   if (requestId.empty()) {
     Refuse(*aExchange, requestId, 400, "no_request_id", {});
     return;
--- a/libs/sidecar/src/DispatcherTenants.cpp
+++ b/libs/sidecar/src/DispatcherTenants.cpp
@@ -18,6 +18,22 @@
   return mTable->Tenants()->Identify(keys, aPublic);
 }
 
+bool
+Dispatcher::RefuseTenantInDoubt(
+  const std::shared_ptr<CallerExchange>& aExchange,
+  Millis aArrivedAt,
+  const std::string& aRequestId)
+{
+  const char* const reason = mDependencies.mTenantRefusal();
+  if (reason == nullptr) {
+    return false;
+  }
+  if (!TryHold(aExchange, aArrivedAt)) {
+    Refuse(*aExchange, aRequestId, 503, reason, kDefaultRetryAfter);
+  }
+  return true;
+}
+
 void
 Dispatcher::RevokeRequests()
 {
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -361,10 +361,14 @@
       if constexpr (std::is_same_v<Message, CancelMessage>) {
         return { MessageType::Cancel, aValue.mId };
       } else if constexpr (std::is_same_v<Message, LoadMessage>) {
-        return { MessageType::Load,
-                 ToJson(aValue.mLoad),
-                 aValue.mStateVersion,
-                 static_cast<int>(aValue.mFollowState) };
+        json list = { MessageType::Load,
+                      ToJson(aValue.mLoad),
+                      aValue.mStateVersion,
+                      static_cast<int>(aValue.mFollowState) };
+        if (aValue.mConfirmedAgo) {
+          list.push_back(aValue.mConfirmedAgo->WholeMillis());
+        }
+        return list;
       } else if constexpr (std::is_same_v<Message, DataCentreLoadsMessage>) {
         json list = json::array({ MessageType::DataCentreLoads });
         for (const auto& [node, load] : aValue.mLoads) {
@@ -421,10 +425,15 @@
       return ReplyFromJson(aList);
     case MessageType::Cancel:
       return CancelMessage{ .mId = aList.at(1).get<std::uint64_t>() };
-    case MessageType::Load:
-      return LoadMessage{ .mLoad = LoadFromJson(aList.at(1)),
-                          .mStateVersion = aList.at(2).get<std::uint64_t>(),
-                          .mFollowState = FollowStateFromJson(aList.at(3)) };
+    case MessageType::Load: {
+      LoadMessage message{ .mLoad = LoadFromJson(aList.at(1)),
+                           .mStateVersion = aList.at(2).get<std::uint64_t>(),
+                           .mFollowState = FollowStateFromJson(aList.at(3)) };
+      if (aList.size() > 4) {
+        message.mConfirmedAgo = Millis{ aList.at(4).get<double>() };
+      }
+      return message;
+    }
     case MessageType::DataCentreLoads: {
       DataCentreLoadsMessage message;
       for (std::size_t i = 1; i + 1 < aList.size(); i += 2) {
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -132,7 +132,8 @@
         .mChooseVersion =
           [this](const std::string& aService) {
             return mRollouts.ChooseVersion(aService);
-          } })
+          },
+        .mTenantRefusal = [this] { return TenantRefusal(); } })
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
@@ -143,6 +144,7 @@
           [this](const Row& aOld, const Row& aRow) {
             OnOperatorRow(aOld, aRow);
           },
+        .mOperatorRowsRead = [this] { mFreshness.OnStoreAnswer(BootNow()); },
         .mRecordRead =
           [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
         .mProgressStored =
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -13,6 +13,7 @@
 #include <gateway/LoadReportFilter.h>
 #include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
+#include <gateway/StateFreshness.h>
 #include <gateway/StopSchedule.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
@@ -31,6 +32,9 @@
 /** How often links, loads and rollouts are processed. */
 constexpr Millis kTickPeriod{ 50 };
 
+/** @return the time of a clock that goes on while the host is suspended. */
+Millis BootNow();
+
 /** Which loads of targets were last sent to a group of nodes, and when. */
 struct SentLoads
 {
@@ -77,6 +81,15 @@
   std::uint64_t mMissingVersion = 0;
   Millis mMissingSince;
   Millis mQueriedAt;
+  gateway::StateFreshness mFreshness{ { .mStrict = mSettings.mStrictRevocation,
+                                        .mConfirmationLimit =
+                                          mSettings.mRevocationLimit },
+                                      BootNow() };
+  /** The version of the row with the desired state in force. */
+  std::uint64_t mAppliedRowVersion = 0;
+  /** That row, if a newer one was received that is not in force. A node that
+   *  starts while the newest row is malformed gets it from here. */
+  std::optional<Row> mReplacedState;
   Millis mStarted;
   /** The loads of the own data centre that were sent within it, to the other
    *  data centres of the region, and to other regions. */
@@ -155,6 +168,17 @@
    *  @param aSource where it came from, for the log.
    *  @return whether it was put in force. */
   bool ApplyState(const std::string& aText, const char* aSource);
+  /** @return why requests of tenants must be refused now, or nullptr. */
+  [[nodiscard]] const char* TenantRefusal();
+  /** @return the version of the desired state in force, or 0. */
+  [[nodiscard]] std::uint64_t StateVersion() const;
+  /** @return whether this node refuses tenants until it has the newest version
+   *    that other nodes report. */
+  [[nodiscard]] bool MustCatchUp() const;
+  /** Keeps the row of the desired state in force when a newer one arrives. */
+  void KeepAppliedState(const Row& aOld);
+  /** Handles that the row was put in force. */
+  void OnStateApplied(std::uint64_t aRowVersion);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -248,6 +248,13 @@
   for (const std::string& dataCentre : mTopology.OtherDataCentres(false)) {
     SendToLinkNodes(dataCentre, message);
   }
+  if (mRoutingTable && mRoutingTable->Tenants()->IsActive()) {
+    // A region of which no node reaches the store would notice the change only
+    // from load messages, which takes more than the 3 s that keys may take.
+    for (const std::string& dataCentre : mTopology.OtherDataCentres(true)) {
+      SendToLinkNodes(dataCentre, message);
+    }
+  }
 }
 
 void
@@ -295,6 +302,13 @@
   mRowFromPeer = true;
   const bool merged = mSync.MergeOperatorRow(row);
   mRowFromPeer = false;
+  if (!merged && !mRoutingTable && aMessage.mBaseVersion == 0 &&
+      aMessage.mKey == mProtocol.Operator().mDesiredStateKey &&
+      ApplyState(row.mValue, "peer")) {
+    // The newer row that this node knows is malformed.
+    OnStateApplied(row.mVersion);
+    mReplacedState = row;
+  }
   const bool isQueriedState =
     aMessage.mBaseVersion == 0 &&
     aMessage.mKey == mProtocol.Operator().mDesiredStateKey;
@@ -306,6 +320,13 @@
 void
 Sidecar::Impl::SendOperatorRows(LinkId aLink)
 {
+  if (mReplacedState) {
+    mMesh.Reply(
+      aLink,
+      OperatorRowMessage{ .mKey = mReplacedState->mKey,
+                          .mPackedValue = gateway::Pack(mReplacedState->mValue),
+                          .mVersion = mReplacedState->mVersion });
+  }
   for (const auto& [key, row] : mSync.OperatorRows()) {
     // Compressed once per version, because many nodes may query at once.
     OperatorRowMessage& packed = mPackedRows[key];
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -12,6 +12,9 @@
  *  is billed, so nodes of other data centres are queried later. */
 constexpr Millis kOwnDataCentreQueryDelay{ 500 };
 constexpr Millis kOtherDataCentreQueryDelay{ 1500 };
+/** That time for a node that refuses tenants meanwhile. A change that is on its
+ *  way over other links arrives within it. */
+constexpr Millis kCatchUpQueryDelay{ 50 };
 /** The shortest time between two such queries, so that the response to the
  *  first can arrive. */
 constexpr Millis kQueryInterval{ 700 };
@@ -212,7 +215,9 @@
       mSync.OnStoreRecovered();
     }
   }
-  const std::uint64_t own = mRoutingTable ? mRoutingTable->State().mVersion : 0;
+  const std::uint64_t own = StateVersion();
+  mFreshness.OnReport(
+    aMessage.mStateVersion, aMessage.mConfirmedAgo, own, BootNow());
   if (aMessage.mStateVersion <= own) {
     return;
   }
@@ -224,9 +229,11 @@
     mMissingSince = now;
   }
   const Millis delay = own == 0                 ? Millis{}
+                       : MustCatchUp()          ? kCatchUpQueryDelay
                        : InOwnDataCentre(aNode) ? kOwnDataCentreQueryDelay
                                                 : kOtherDataCentreQueryDelay;
-  const Millis interval = own == 0 ? kInitialQueryInterval : kQueryInterval;
+  const Millis interval =
+    own == 0 || MustCatchUp() ? kInitialQueryInterval : kQueryInterval;
   if (now - mMissingSince >= delay && now - mQueriedAt >= interval) {
     mQueriedAt = now;
     mMesh.Reply(aLink, OperatorRowsQuery{});
--- a/libs/sidecar/src/SidecarState.cpp
+++ b/libs/sidecar/src/SidecarState.cpp
@@ -24,6 +24,7 @@
     BroadcastOperatorRow(aOld, aRow);
   }
   if (aRow.mKey == names.mDesiredStateKey) {
+    KeepAppliedState(aOld);
     mPendingStateSource = mRowFromPeer ? "peer" : "store";
     ApplyPendingState(SteadyNow());
     return;
@@ -56,7 +57,10 @@
       row == mSync.OperatorRows().end()) {
     return;
   }
-  ApplyState(row->second.mValue, std::exchange(mPendingStateSource, nullptr));
+  if (ApplyState(row->second.mValue,
+                 std::exchange(mPendingStateSource, nullptr))) {
+    OnStateApplied(row->second.mVersion);
+  }
 }
 
 bool
@@ -72,8 +76,7 @@
       { { "source", aSource }, { "reason", state.error().mMessage } });
     return false;
   }
-  const std::uint64_t current =
-    mRoutingTable ? mRoutingTable->State().mVersion : 0;
+  const std::uint64_t current = StateVersion();
   if (mRoutingTable && state->mVersion <= current) {
     return false;
   }
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -32,8 +32,11 @@
 Sidecar::Impl::OwnLoad() const
 {
   return { .mLoad = mLocalTarget.Load(),
-           .mStateVersion = mRoutingTable ? mRoutingTable->State().mVersion : 0,
-           .mFollowState = mSync.FollowingState() };
+           .mStateVersion = StateVersion(),
+           .mFollowState = mSync.FollowingState(),
+           .mConfirmedAgo = mSettings.mStrictRevocation
+                              ? mFreshness.ConfirmedAgo(BootNow())
+                              : std::nullopt };
 }
 
 void
@@ -80,6 +83,7 @@
   mLastTick = now;
   UpdateLinks();
   ApplyPendingState(now);
+  mFreshness.OnTick(BootNow());
   mMesh.Tick(now);
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
   if (now - mLastLoadCheck >= kLoadPeriod) {
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -203,6 +203,7 @@
     }
     mOperatorRowsRead = true;
     MergeOperatorRows(*aResult);
+    mHandlers.mOperatorRowsRead();
     FetchOperatorRows();
   });
 }
@@ -233,6 +234,7 @@
       mFollowSucceeded = true;
       mFollowFailed = false;
       MergeOperatorRows(*aResult);
+      mHandlers.mOperatorRowsRead();
       mOperatorRowsTimer.StartOnce(aResult->mRows.empty()
                                      ? Millis{ 1 }
                                      : mOptions.mOperatorRowsBatchDelay);
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -53,6 +53,8 @@
   ExpectRoundTrip(kReply);
   ExpectRoundTrip(CancelMessage{ .mId = 9 });
   ExpectRoundTrip(WithdrawMessage{ .mId = 9 });
+  ExpectRoundTrip(
+    LoadMessage{ .mStateVersion = 7, .mConfirmedAgo = Millis{ 1234 } });
   ExpectRoundTrip(LoadMessage{ .mLoad = kReply.mLoad,
                                .mStateVersion = 31,
                                .mFollowState = gateway::FollowState::Failing });
