--- a/libs/gateway/include/gateway/RoutingTable.h
+++ b/libs/gateway/include/gateway/RoutingTable.h
@@ -9,6 +9,7 @@
 
 #include <gateway/DesiredState.h>
 #include <gateway/Placement.h>
+#include <gateway/TenantDirectory.h>
 
 namespace papayaway::gateway {
 
@@ -59,6 +60,11 @@
 
   /** @return the allowed regions of the routes and tenants. */
   [[nodiscard]] const PlacementRules& Placements() const { return mPlacements; }
+  /** @return the tenants of this version; never null. */
+  [[nodiscard]] const std::shared_ptr<const TenantDirectory>& Tenants() const
+  {
+    return mTenants;
+  }
 
 private:
   struct StringHash
@@ -75,6 +81,7 @@
 
   DesiredState mState;
   PlacementRules mPlacements;
+  std::shared_ptr<const TenantDirectory> mTenants;
   /** By host name, then by path prefix. */
   StringMap<StringMap<std::unique_ptr<ActiveRule>>> mHosts;
 };
--- a/libs/gateway/src/RoutingTable.cpp
+++ b/libs/gateway/src/RoutingTable.cpp
@@ -51,6 +51,7 @@
 RoutingTable::RoutingTable(DesiredState aState)
   : mState(std::move(aState))
   , mPlacements(mState)
+  , mTenants(std::make_shared<const TenantDirectory>(mState.mTenants))
 {
   for (const auto& [host, rules] : mState.mHosts) {
     auto& rulesByPrefix = mHosts[NormalizedHostName(host)];
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -60,6 +60,8 @@
   /** Chooses the versions allowed for one request of a service. */
   std::function<VersionChoice(const std::string&)> mChooseVersion;
   const gateway::EvacuationSet& mEvacuations;
+  /** @return why requests of tenants must be refused now, or nullptr. */
+  std::function<const char*()> mTenantRefusal;
 };
 
 /**
@@ -105,6 +107,8 @@
   /** The longest Retry-After, as a fraction of the caller's remaining time.
    *  Callers obey values of up to a third of it. */
   static constexpr double kMaxRetryAfterFraction = 0.3;
+  /** Why requests are answered with 401. */
+  static constexpr const char* kUnknownCredential = "unknown_credential";
 
   struct ActiveRequest
   {
@@ -115,8 +119,13 @@
     std::string mService;
     VersionChoice mVersion;
     std::string mRequestId;
-    /** The name of the caller's tenant; empty if there is none. */
+    /** The name of the tenant that sent the request; empty if there is none. */
     std::string mTenant;
+    /** Combines the priorities of tenant and route. */
+    int mPriority = 0;
+    /** Whether the tenant or its key was removed after the request had been
+     *  sent to a node. No further attempt is made. */
+    bool mRevoked = false;
     /** Whether the request waits for a token of its tenant. */
     bool mWaitsForToken = false;
     /** When the token that was taken for the request expires. */
@@ -189,10 +198,24 @@
   /** @return how long the caller waits, if the request states it. */
   [[nodiscard]] std::optional<Millis> CallerTimeout(
     const HttpMessage& aRequest) const;
+  /** @return who sent the request, according to the desired state in force. */
+  [[nodiscard]] gateway::CallerIdentity Identify(const HttpMessage& aRequest,
+                                                 bool aPublic) const;
+  /** Holds or refuses a request of a tenant while the desired state is too old
+   *  to accept its key.
+   *  @return whether the request was held or refused. */
+  [[nodiscard]] bool RefuseTenantInDoubt(
+    const std::shared_ptr<CallerExchange>& aExchange,
+    Millis aArrivedAt,
+    const std::string& aRequestId);
+  /** Withdraws the requests that the desired state in force no longer accepts
+   *  from nodes where they wait. Those that have started continue. */
+  void RevokeRequests();
+  /** Answers a request of a removed tenant or key after an attempt that brought
+   *  no response. */
+  void AnswerRevoked(std::uint64_t aId);
   void Route(const std::shared_ptr<CallerExchange>& aExchange,
              Millis aArrivedAt);
-  /** @return the name of the tenant whose key the request carries, or "". */
-  [[nodiscard]] std::string TenantOf(const HttpMessage& aRequest) const;
   /** Dispatches the request once its tenant's usage cap allows it, or refuses
    *  it. */
   void AdmitAndDispatch(std::uint64_t aId);
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -160,6 +160,9 @@
   {
     return mCallAdmission.LimitedRoutes();
   }
+  /** Refuses a call that still waits for a slot. One that has been sent to the
+   *  target continues. */
+  void Withdraw(CallId aId);
 
   /** @return the local target, as published in the record of this node. */
   [[nodiscard]] const std::optional<gateway::TargetInfo>& Target() const
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -115,6 +116,9 @@
   /** The digest of the evacuations in force at the sender; 0 if there are
    *  none. */
   std::uint64_t mEvacuationDigest = 0;
+  /** How long ago it was confirmed that this version is the newest, if the
+   *  settings of the sender require that. */
+  std::optional<Millis> mConfirmedAgo;
 
   bool operator==(const LoadMessage&) const = default;
 };
@@ -231,6 +235,16 @@
   bool operator==(const CapGrantMessage&) const = default;
 };
 
+/** Asks to refuse a call if it still waits at the receiver, because its tenant
+ *  or the key that it came with was removed. It is always answered by the reply
+ *  to the call. */
+struct WithdrawMessage
+{
+  std::uint64_t mId = 0;
+
+  bool operator==(const WithdrawMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -246,7 +260,8 @@
                                  QuarantineMessage,
                                  EvacuationsMessage,
                                  CapReportMessage,
-                                 CapGrantMessage>;
+                                 CapGrantMessage,
+                                 WithdrawMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -27,6 +27,9 @@
   /** Called with operator rows that were read, before each of them is merged,
    *  and whether they are the whole table, or else only changes. */
   std::function<void(const RowList&, bool aWholeTable)> mOperatorRowsRead;
+  /** Called when the store has answered with all changes of the operator rows,
+   *  or that there are none, after they were merged. */
+  std::function<void()> mOperatorRowsMerged;
   /** Called with the stored record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecordRead;
   /** Called with rollout progress that was read from or written to the store.
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -61,6 +61,7 @@
 Dispatcher::SetRoutingTable(std::shared_ptr<gateway::RoutingTable> aTable)
 {
   mTable = std::move(aTable);
+  RevokeRequests();
   ReleaseHeld();
 }
 
@@ -97,6 +98,16 @@
     Refuse(*aExchange, requestId, 404, "no_route", {});
     return;
   }
+  const gateway::CallerIdentity identity =
+    Identify(request, rule->mRule.mPublic);
+  if (!identity.mAccepted) {
+    Refuse(*aExchange, requestId, 401, kUnknownCredential, {});
+    return;
+  }
+  if (identity.mTenant != nullptr &&
+      RefuseTenantInDoubt(aExchange, aArrivedAt, requestId)) {
+    return;
+  }
   if (requestId.empty()) {
     Refuse(*aExchange, requestId, 400, "no_request_id", {});
     return;
@@ -109,7 +120,8 @@
   const std::size_t destination = rule->mRoundRobin.Next();
   const std::string& service =
     rule->mRule.mDestinations.at(destination).mService;
-  const std::string tenant = TenantOf(request);
+  const std::string tenant =
+    identity.mTenant == nullptr ? "" : identity.mTenant->mName;
   if (mStartupQueue.IsOpen(now) &&
       MayAwaitTarget(service, PlacementOf(rule->mRule, tenant)) &&
       TryHold(aExchange, aArrivedAt)) {
@@ -139,6 +151,8 @@
                    .mVersion = mDependencies.mChooseVersion(service),
                    .mRequestId = std::move(requestId),
                    .mTenant = tenant,
+                   .mPriority = mTable->Tenants()->Priority(
+                     identity.mTenant, rule->mRule.mPriority),
                    .mHeaders = EndToEndHeaders(request.mHeaders),
                    .mArrivedAt = aArrivedAt,
                    .mRoutedAt = now,
@@ -149,6 +163,10 @@
   active.mHeaders.Set(names.mCallerService, mOptions.mService);
   active.mHeaders.Remove(names.mTargetId);
   active.mHeaders.Remove(names.mTimeLeft);
+  active.mHeaders.Remove(names.mCredential);
+  if (mTable->Tenants()->IsActive()) {
+    active.mHeaders.Remove(names.mTenant);
+  }
   mDeadlines.emplace(active.mDeadline, id);
   ArmDeadlineTimer();
   aExchange->OnAbandoned([this, id] { OnAbandoned(id); });
@@ -222,7 +240,7 @@
                     .mTimeLeft = aActive.mDeadline - now,
                     .mObjectiveLeft =
                       aActive.mArrivedAt + aActive.mRule->mObjective - now,
-                    .mPriority = aActive.mRule->mPriority,
+                    .mPriority = aActive.mPriority,
                     .mIdempotent = aActive.mRule->mIdempotent,
                     .mTenant = aActive.mTenant };
   if (aActive.mParent) {
@@ -335,6 +353,10 @@
                       .mBody = active.mLastReply.mBody };
   }
   active.mExcluded.push_back(active.mNode);
+  if (active.mRevoked) {
+    AnswerRevoked(aId);
+    return;
+  }
   if (notRun && !active.mLastReply.mReachedTarget) {
     // This attempt reached no target, so sending the request to another node is
     // not a retry and does not use the retry budget.
--- a/libs/sidecar/src/DispatcherCaps.cpp
+++ b/libs/sidecar/src/DispatcherCaps.cpp
@@ -14,22 +14,6 @@
 
 } // namespace
 
-std::string
-Dispatcher::TenantOf(const HttpMessage& aRequest) const
-{
-  const std::string_view key =
-    aRequest.mHeaders.Value(mDependencies.mProtocol.Headers().mCredential);
-  if (!key.empty()) {
-    for (const gateway::Tenant& tenant : mTable->State().mTenants) {
-      if (std::find(tenant.mKeys.begin(), tenant.mKeys.end(), key) !=
-          tenant.mKeys.end()) {
-        return tenant.mName;
-      }
-    }
-  }
-  return {};
-}
-
 void
 Dispatcher::AdmitAndDispatch(std::uint64_t aId)
 {
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -427,6 +427,9 @@
   request.mMessage.mHeaders.Set(names.mTimeLeft,
                                 std::to_string(timeLeft.WholeMillis()));
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
+  if (!call.mTenant.empty()) {
+    request.mMessage.mHeaders.Set(names.mTenant, call.mTenant);
+  }
   active.mStartedAt = now;
   active.mSentToTarget = true;
   mCallParents.OnStarted(
@@ -632,6 +635,14 @@
   }
 }
 
+void
+LocalTargetProxy::Withdraw(CallId aId)
+{
+  if (mQueue.Cancel(aId)) {
+    Refuse(aId, "withdrawn");
+  }
+}
+
 void
 LocalTargetProxy::ArmDeadlineTimer()
 {
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -44,6 +44,7 @@
   Evacuations,
   CapReport,
   CapGrant,
+  Withdraw,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -397,9 +398,12 @@
                       ToJson(aValue.mLoad),
                       aValue.mStateVersion,
                       static_cast<int>(aValue.mFollowState) };
-        if (aValue.mEvacuationDigest != 0) {
+        if (aValue.mEvacuationDigest != 0 || aValue.mConfirmedAgo) {
           list.push_back(aValue.mEvacuationDigest);
         }
+        if (aValue.mConfirmedAgo) {
+          list.push_back(aValue.mConfirmedAgo->WholeMillis());
+        }
         return list;
       } else if constexpr (std::is_same_v<Message, DataCentreLoadsMessage>) {
         json list = json::array({ MessageType::DataCentreLoads });
@@ -448,6 +452,8 @@
       } else if constexpr (std::is_same_v<Message, CapGrantMessage>) {
         return CapAnswerToJson(static_cast<int>(MessageType::CapGrant),
                                aValue.mAnswer);
+      } else if constexpr (std::is_same_v<Message, WithdrawMessage>) {
+        return { MessageType::Withdraw, aValue.mId };
       } else {
         return ToJson(aValue);
       }
@@ -465,13 +471,18 @@
       return ReplyFromJson(aList);
     case MessageType::Cancel:
       return CancelMessage{ .mId = aList.at(1).get<std::uint64_t>() };
-    case MessageType::Load:
-      return LoadMessage{ .mLoad = LoadFromJson(aList.at(1)),
-                          .mStateVersion = aList.at(2).get<std::uint64_t>(),
-                          .mFollowState = FollowStateFromJson(aList.at(3)),
-                          .mEvacuationDigest =
-                            aList.size() > 4 ? aList.at(4).get<std::uint64_t>()
-                                             : 0 };
+    case MessageType::Load: {
+      LoadMessage message{ .mLoad = LoadFromJson(aList.at(1)),
+                           .mStateVersion = aList.at(2).get<std::uint64_t>(),
+                           .mFollowState = FollowStateFromJson(aList.at(3)) };
+      if (aList.size() > 4) {
+        message.mEvacuationDigest = aList.at(4).get<std::uint64_t>();
+      }
+      if (aList.size() > 5) {
+        message.mConfirmedAgo = Millis{ aList.at(5).get<double>() };
+      }
+      return message;
+    }
     case MessageType::DataCentreLoads: {
       DataCentreLoadsMessage message;
       for (std::size_t i = 1; i + 1 < aList.size(); i += 2) {
@@ -524,6 +535,8 @@
       return CapReportMessage{ .mReport = CapReportFromJson(aList) };
     case MessageType::CapGrant:
       return CapGrantMessage{ .mAnswer = CapAnswerFromJson(aList) };
+    case MessageType::Withdraw:
+      return WithdrawMessage{ .mId = aList.at(1).get<std::uint64_t>() };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -162,7 +162,8 @@
           [this](const std::string& aService) {
             return mRollouts.ChooseVersion(aService);
           },
-        .mEvacuations = mEvacuations.Set() })
+        .mEvacuations = mEvacuations.Set(),
+        .mTenantRefusal = [this] { return TenantRefusal(); } })
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
@@ -177,6 +178,7 @@
           [this](const RowList& aList, bool aWholeTable) {
             OnOperatorRowsRead(aList, aWholeTable);
           },
+        .mOperatorRowsMerged = [this] { mFreshness.OnStoreAnswer(BootNow()); },
         .mRecordRead =
           [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
         .mProgressStored =
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -13,6 +13,7 @@
 #include <gateway/LoadReportFilter.h>
 #include <gateway/PackedText.h>
 #include <gateway/RoutingTable.h>
+#include <gateway/StateFreshness.h>
 #include <gateway/StopSchedule.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
@@ -33,6 +34,9 @@
 /** How often links, loads and rollouts are processed. */
 constexpr Millis kTickPeriod{ 50 };
 
+/** @return the time of a clock that goes on while the host is suspended. */
+Millis BootNow();
+
 /** Which loads of targets were last sent to a group of nodes, and when. */
 struct SentLoads
 {
@@ -81,6 +85,15 @@
   std::uint64_t mMissingVersion = 0;
   Millis mMissingSince;
   Millis mQueriedAt;
+  gateway::StateFreshness mFreshness{ { .mStrict = mSettings.mStrictRevocation,
+                                        .mConfirmationLimit =
+                                          mSettings.mRevocationLimit },
+                                      BootNow() };
+  /** The version of the row with the desired state in force. */
+  std::uint64_t mAppliedRowVersion = 0;
+  /** That row, if a newer one was received that is not in force. A node that
+   *  starts while the newest row is malformed gets it from here. */
+  std::optional<Row> mReplacedState;
   Millis mStarted;
   /** The number of nodes among which the usage caps are divided, and when there
    *  were last that many. */
@@ -165,9 +178,21 @@
   bool ApplyState(const std::string& aText, const char* aSource);
   /** Passes the rules of the services on to those that apply them. */
   void ApplyServiceRules(const gateway::DesiredState& aState);
+  /** @return why requests of tenants must be refused now, or nullptr. */
+  [[nodiscard]] const char* TenantRefusal();
+  /** @return the version of the desired state in force, or 0. */
+  [[nodiscard]] std::uint64_t StateVersion() const;
+  /** @return whether this node refuses tenants until it has the newest version
+   *    that other nodes report. */
+  [[nodiscard]] bool MustCatchUp() const;
+  /** Keeps the row of the desired state in force when a newer one arrives. */
+  void KeepAppliedState(const Row& aOld);
+  /** Handles that the row was put in force. */
+  void OnStateApplied(std::uint64_t aRowVersion);
   void OnMessage(LinkId aLink, const std::string& aNode, PeerMessage aMessage);
   void OnCall(LinkId aLink, CallMessage aCall);
   void OnCancel(LinkId aLink, const CancelMessage& aCancel);
+  void OnWithdraw(LinkId aLink, const WithdrawMessage& aWithdraw);
   void ServeReceivedCalls();
   void ServeCall(LinkId aLink, CallMessage aCall);
   void OnLinkLost(LinkId aLink, bool aWasOpen);
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -12,6 +12,9 @@
  *  is billed, so nodes of other data centres are queried later. */
 constexpr Millis kOwnDataCentreQueryDelay{ 500 };
 constexpr Millis kOtherDataCentreQueryDelay{ 1500 };
+/** That time for a node that refuses tenants meanwhile. A change that is on its
+ *  way over other links arrives within it. */
+constexpr Millis kCatchUpQueryDelay{ 50 };
 /** The shortest time between two such queries, so that the response to the
  *  first can arrive. */
 constexpr Millis kQueryInterval{ 700 };
@@ -91,6 +94,9 @@
   } else if (const auto* const grant =
                std::get_if<CapGrantMessage>(&aMessage)) {
     mCaps.OnGrant(aNode, InOwnDataCentre(aNode), *grant);
+  } else if (const auto* const withdraw =
+               std::get_if<WithdrawMessage>(&aMessage)) {
+    OnWithdraw(aLink, *withdraw);
   }
 }
 
@@ -131,6 +137,23 @@
   mLocalTarget.Cancel(id);
 }
 
+void
+Sidecar::Impl::OnWithdraw(LinkId aLink, const WithdrawMessage& aWithdraw)
+{
+  if (mReceivedCalls.erase({ aLink, aWithdraw.mId }) > 0) {
+    mMesh.Reply(aLink,
+                ReplyMessage{ .mId = aWithdraw.mId,
+                              .mOutcome = CallOutcome::NotRun,
+                              .mReason = "withdrawn",
+                              .mLoad = mLocalTarget.Load() });
+    return;
+  }
+  const auto found = mPeerCalls.find({ aLink, aWithdraw.mId });
+  if (found != mPeerCalls.end()) {
+    mLocalTarget.Withdraw(found->second);
+  }
+}
+
 void
 Sidecar::Impl::ServeReceivedCalls()
 {
@@ -203,7 +226,9 @@
       mSync.OnStoreRecovered();
     }
   }
-  const std::uint64_t own = mRoutingTable ? mRoutingTable->State().mVersion : 0;
+  const std::uint64_t own = StateVersion();
+  mFreshness.OnReport(
+    aMessage.mStateVersion, aMessage.mConfirmedAgo, own, BootNow());
   if (aMessage.mStateVersion <= own) {
     return;
   }
@@ -215,9 +240,11 @@
     mMissingSince = now;
   }
   const Millis delay = own == 0                 ? Millis{}
+                       : MustCatchUp()          ? kCatchUpQueryDelay
                        : InOwnDataCentre(aNode) ? kOwnDataCentreQueryDelay
                                                 : kOtherDataCentreQueryDelay;
-  const Millis interval = own == 0 ? kInitialQueryInterval : kQueryInterval;
+  const Millis interval =
+    own == 0 || MustCatchUp() ? kInitialQueryInterval : kQueryInterval;
   if (now - mMissingSince >= delay && now - mQueriedAt >= interval) {
     mQueriedAt = now;
     mMesh.Reply(aLink, OperatorRowsQuery{});
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -32,9 +32,12 @@
 Sidecar::Impl::OwnLoad() const
 {
   return { .mLoad = mLocalTarget.Load(),
-           .mStateVersion = mRoutingTable ? mRoutingTable->State().mVersion : 0,
+           .mStateVersion = StateVersion(),
            .mFollowState = mSync.FollowingState(),
-           .mEvacuationDigest = mEvacuations.Set().Digest() };
+           .mEvacuationDigest = mEvacuations.Set().Digest(),
+           .mConfirmedAgo = mSettings.mStrictRevocation
+                              ? mFreshness.ConfirmedAgo(BootNow())
+                              : std::nullopt };
 }
 
 void
@@ -81,6 +84,7 @@
   mLastTick = now;
   UpdateLinks();
   ApplyPendingState(now);
+  mFreshness.OnTick(BootNow());
   mMesh.Tick(now);
   mCaps.Tick();
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -207,6 +207,7 @@
     }
     mOperatorRowsRead = true;
     MergeOperatorRows(*aResult, true);
+    mHandlers.mOperatorRowsMerged();
     FetchOperatorRows();
   });
 }
@@ -237,6 +238,7 @@
       mFollowSucceeded = true;
       mFollowFailed = false;
       MergeOperatorRows(*aResult, false);
+      mHandlers.mOperatorRowsMerged();
       mOperatorRowsTimer.StartOnce(aResult->mRows.empty()
                                      ? Millis{ 1 }
                                      : mOptions.mOperatorRowsBatchDelay);
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -66,6 +66,9 @@
       .mGrants = { { .mTenant = "t",
                      .mGrant = { .mTokens = 5, .mWait = Millis{ 40 } },
                      .mValidFor = Millis{ 350 } } } } });
+  ExpectRoundTrip(WithdrawMessage{ .mId = 9 });
+  ExpectRoundTrip(
+    LoadMessage{ .mStateVersion = 7, .mConfirmedAgo = Millis{ 1234 } });
   ExpectRoundTrip(LoadMessage{ .mLoad = kReply.mLoad,
                                .mStateVersion = 31,
                                .mFollowState = gateway::FollowState::Failing });
