Derive Retry-After from the measured rate of free capacity

Retry-After was the expected wait of the queue for each refused caller, so all callers that were refused together returned for the same slot, and a caller that returned at once competed with first attempts.

CapacityPromises measures on the target's node how many requests a second are served and promises half of that rate to refused callers one after the other; a caller without enough time gets 0.3 of it and no promise. The entry node spreads the value downwards and refuses a caller that returns before its time while the chosen target has no free slot. Active only with tenants or on nodes whose target reports its present speed.

Tested: test_gateway, test_sidecar, test_adapter (57 tests) pass with sanitizers. The share of one half is not measured.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -12,6 +12,7 @@
 
 #include <base/Millis.h>
 #include <base/Random.h>
+#include <gateway/RetryAfter.h>
 #include <gateway/RetryBudget.h>
 #include <gateway/RoutingTable.h>
 #include <gateway/RunTimes.h>
@@ -214,6 +215,9 @@
   /** Run times of successful requests, by route and by service. */
   gateway::RunTimes mRouteRunTimes;
   gateway::RunTimes mServiceRunTimes;
+  /** Callers that were refused and told when to return; used while the control
+   *  of load is active. */
+  gateway::EarlyReturns mEarlyReturns;
   std::shared_ptr<gateway::RoutingTable> mTable;
   std::optional<gateway::StopSchedule> mStop;
   gateway::StartupQueue mStartupQueue;
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -12,6 +12,7 @@
 #include <base/Millis.h>
 #include <gateway/CallAdmission.h>
 #include <gateway/CallParents.h>
+#include <gateway/RetryAfter.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
 #include <http/ConnectProbe.h>
@@ -198,6 +199,9 @@
   void OnResult(CallId aId, TargetResult aResult);
   void Refuse(CallId aId, const char* aReason);
   void Finish(CallId aId, ReplyMessage aReply);
+  /** @return when the caller of a refused call should return, counted from
+   *    now. */
+  [[nodiscard]] Millis RetryAfterOf(const ActiveCall& aActive);
   void FreeSlot();
   void RecordRun(const ActiveCall& aActive, int aStatus, Millis aTime);
   void RefuseWaiting(const char* aReason);
@@ -221,6 +225,7 @@
   gateway::RunTimes mRunTimes;
   gateway::CallParents mCallParents;
   gateway::CallAdmission mCallAdmission;
+  gateway::CapacityPromises mPromises;
   bool mLoadControlRequested = false;
   /** Whether the target has reported its present speed. */
   bool mReportsSlowdown = false;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -186,6 +186,16 @@
     AnswerRefused(aId, "no_slot_before_deadline", choice->mExpectedWait);
     return;
   }
+  if (active.mRefusals == 0 && !active.mParent &&
+      choice->mExpectedWait > Millis{}) {
+    // A caller that returns before the time that it was told takes no slot
+    // while others wait.
+    const Millis early = mEarlyReturns.EarlyBy(active.mRequestId, now);
+    if (early > Millis{}) {
+      AnswerRefused(aId, "returned_early", early);
+      return;
+    }
+  }
   const std::string node(candidates[choice->mIndex].mNode);
   Send(aId, active, node);
 }
--- a/libs/sidecar/src/DispatcherAnswers.cpp
+++ b/libs/sidecar/src/DispatcherAnswers.cpp
@@ -110,12 +110,19 @@
   }
   const Millis timeLeft =
     active.mArrivedAt + active.mCallerTimeout - SteadyNow();
-  const Millis maxRetryAfter = timeLeft * kMaxRetryAfterFraction;
-  const double jitter =
-    1 + kRetryAfterJitter * (2 * UniformFraction(mDependencies.mRandom) - 1);
-  const Millis retryAfter = std::max(
-    std::min(std::max(aExpectedWait, kMinRetryAfter) * jitter, maxRetryAfter),
-    Millis{ 1 });
+  Millis retryAfter;
+  if (mDependencies.mLocalTarget.LoadControlActive()) {
+    retryAfter =
+      gateway::RetryAfter(aExpectedWait, timeLeft, mDependencies.mRandom);
+    mEarlyReturns.OnRefused(active.mRequestId, SteadyNow() + retryAfter);
+  } else {
+    const Millis maxRetryAfter = timeLeft * kMaxRetryAfterFraction;
+    const double jitter =
+      1 + kRetryAfterJitter * (2 * UniformFraction(mDependencies.mRandom) - 1);
+    retryAfter = std::max(
+      std::min(std::max(aExpectedWait, kMinRetryAfter) * jitter, maxRetryAfter),
+      Millis{ 1 });
+  }
   CallerResponse response = ErrorResponse(503, aReason);
   response.mHeaders.Add("Retry-After", RetryAfterText(retryAfter));
   mDependencies.mMetrics.OnRefused(aReason);
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -401,6 +401,7 @@
     mSuccessRate * (1 - kSuccessWeight) + (failed ? 0 : 1) * kSuccessWeight;
   if (!failed) {
     mRunTimes.OnRun(aActive.mCall.mRoute, aTime);
+    mPromises.OnServed(SteadyNow());
   }
   mHandlers.mRunFinished({ .mService = mTarget->mService,
                            .mVersion = mTarget->mVersion,
@@ -507,10 +508,7 @@
   }
   ReplyMessage reply{ .mOutcome = CallOutcome::NotRun,
                       .mReason = aReason,
-                      .mRetryAfter =
-                        mQueue.ExpectedWait(active.mCall.mPriority,
-                                            mRunTimes.Mean(active.mCall.mRoute),
-                                            active.mCall.mNestedCall) };
+                      .mRetryAfter = RetryAfterOf(active) };
   Finish(aId, std::move(reply));
 }
 
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -61,6 +61,21 @@
   mCallAdmission.OnCallEnded(aParentRoute, aEnd, aArrivedAt, SteadyNow());
 }
 
+Millis
+LocalTargetProxy::RetryAfterOf(const ActiveCall& aActive)
+{
+  const CallMessage& call = aActive.mCall;
+  const Millis wait = mQueue.ExpectedWait(
+    call.mPriority, mRunTimes.Mean(call.mRoute), call.mNestedCall);
+  if (!LoadControlActive()) {
+    return wait;
+  }
+  const Millis now = SteadyNow();
+  return std::max(
+    mPromises.Promise(mQueue.Waiting(), wait, aActive.mDeadline - now, now),
+    mCallAdmission.UntilNext(call.mRoute));
+}
+
 double
 LocalTargetProxy::Slowdown() const
 {
