--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -460,6 +460,7 @@
     mSuccessRate * (1 - kSuccessWeight) + (failed ? 0 : 1) * kSuccessWeight;
   if (!failed) {
     mRunTimes.OnRun(aActive.mCall.mRoute, aTime);
+    mPromises.OnServed(SteadyNow());
   }
   mHandlers.mRunFinished({ .mService = mTarget->mService,
                            .mVersion = mTarget->mVersion,
@@ -574,10 +575,7 @@
   }
   ReplyMessage reply{ .mOutcome = CallOutcome::NotRun,
                       .mReason = aReason,
-                      .mRetryAfter =
-                        mQueue.ExpectedWait(active.mCall.mPriority,
-                                            mRunTimes.Mean(active.mCall.mRoute),
-                                            active.mCall.mNestedCall) };
+                      .mRetryAfter = RetryAfterOf(active) };
   if (aReason == kColdRateReason) {
     const Millis now = SteadyNow();
     mColdLimiter.OnHandedBack(now);
