--- a/libs/gateway/include/gateway/CapNode.h
+++ b/libs/gateway/include/gateway/CapNode.h
@@ -207,6 +207,7 @@
   std::map<std::string, double> mLoans;
   double mReportedLoans = 0;
 
+  Millis mStockCheckedAt;
   Requests mWaiting;
   /** The requests whose sums were requested from mSource, by request. */
   std::map<std::uint64_t, Asked> mAsked;
--- a/libs/gateway/src/CapNode.cpp
+++ b/libs/gateway/src/CapNode.cpp
@@ -23,7 +23,10 @@
 constexpr Millis kRequestTimeout{ 300 };
 /** With one unanswered request, a request that arrives after it was sent waits
  *  for two answers, longer than it may be held. */
-constexpr std::size_t kMaxUnanswered = 3;
+constexpr std::size_t kMaxUnanswered = 2;
+/** How often the stocks are checked while no request waits; a shorter period
+ *  increases the messages of the coordinator. */
+constexpr Millis kStockPeriod{ 100 };
 /** Limits the memory for requests of other nodes. */
 constexpr std::size_t kMaxRequesters = 2000;
 constexpr std::size_t kMaxLoans = 2000;
@@ -131,7 +134,11 @@
     StartRound(aView, aNow);
   }
   ReportLoans();
-  ProcessRequests(aNow);
+  if (mCap.HeldRequests() > 0 || !mWaiting.empty() ||
+      aNow >= mStockCheckedAt + kStockPeriod) {
+    mStockCheckedAt = aNow;
+    ProcessRequests(aNow);
+  }
 }
 
 void
--- a/libs/gateway/src/UsageCap.cpp
+++ b/libs/gateway/src/UsageCap.cpp
@@ -156,6 +156,8 @@
 UsageCap::Wanted(Millis aNow)
 {
   std::map<std::string, std::uint32_t> wanted;
+  // If one tenant needs tokens, the stocks of all are filled by one message.
+  bool isNeeded = false;
   for (auto& [name, tenant] : mTenants) {
     DropExpired(tenant, aNow);
     if (tenant.mArrivals == 0 || aNow < tenant.mUsedUpUntil) {
@@ -171,11 +173,15 @@
     // Rounded up, a quarter of the tokens of a tenant with few requests at each
     // node would expire unused.
     const double stock = std::round(expected);
-    if (held > 0 || tenant.mStockCount < stock / 2) {
+    isNeeded = isNeeded || held > 0 || tenant.mStockCount < stock / 2;
+    if (stock + held > tenant.mStockCount) {
       wanted[name] = static_cast<std::uint32_t>(
-        std::clamp<double>(stock + held - tenant.mStockCount, 1, kMaxWanted));
+        std::min<double>(stock + held - tenant.mStockCount, kMaxWanted));
     }
   }
+  if (!isNeeded) {
+    wanted.clear();
+  }
   return wanted;
 }
 
