--- a/libs/gateway/include/gateway/ColdRateLimiter.h
+++ b/libs/gateway/include/gateway/ColdRateLimiter.h
@@ -86,6 +86,10 @@
   /** @return how long until a request may be sent. */
   [[nodiscard]] Millis TimeToAdmission(Millis aNow) const;
 
+  /** @return how many requests a second are admitted at most; nullopt if there
+   *    is no limit now. */
+  [[nodiscard]] std::optional<double> Rate(Millis aNow) const;
+
   /** The rate that other nodes are told. It is lower than the admitted rate
    *  while more requests than that arrive.
    *  @return requests a second; nullopt if there is no limit now. */
--- a/libs/gateway/include/gateway/RunTimes.h
+++ b/libs/gateway/include/gateway/RunTimes.h
@@ -49,6 +49,12 @@
    *    requests has run. */
   [[nodiscard]] Millis Mean(std::string_view aRoute) const;
 
+  /** @return whether a request of the route has run. */
+  [[nodiscard]] bool Knows(std::string_view aRoute) const
+  {
+    return mRoutes.find(aRoute) != mRoutes.end();
+  }
+
   /** @return the time within which about 3 in 4 runs of the route end. */
   [[nodiscard]] Millis Percentile75(std::string_view aRoute) const;
 
--- a/libs/gateway/src/ColdRateLimiter.cpp
+++ b/libs/gateway/src/ColdRateLimiter.cpp
@@ -114,6 +114,12 @@
   return std::max(Millis{}, mSent[mSent.size() - limit] + kWindow - aNow);
 }
 
+std::optional<double>
+ColdRateLimiter::Rate(Millis aNow) const
+{
+  return IsLimited(aNow) ? std::optional<double>(Limit(aNow)) : std::nullopt;
+}
+
 std::optional<double>
 ColdRateLimiter::AdvisedRate(Millis aNow) const
 {
