Pace the requests to starting targets

The target's node applies TargetPace for services with a cold rate and for targets that report their present speed, tells the rate with its load and hands back only what exceeds it while other targets have no limit.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -93,6 +93,16 @@
    *    never sent; otherwise they may have run. */
   void OnLinkLost(LinkId aLink, bool aWasOpen);
 
+  /** @return how long requests of the route take at all targets, as far as the
+   *    callers of this node have used it. */
+  [[nodiscard]] std::optional<Millis> UsualRunTime(
+    const std::string& aRoute) const
+  {
+    return mRouteRunTimes.Knows(aRoute)
+             ? std::optional(mRouteRunTimes.Mean(aRoute))
+             : std::nullopt;
+  }
+
 private:
   /** The Retry-After value of refusals for which no waiting time can be
    *  estimated: no desired state or target is known, or too many requests are
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -14,6 +15,7 @@
 #include <gateway/DesiredState.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
+#include <gateway/TargetPace.h>
 #include <http/ConnectProbe.h>
 #include <http/TargetClient.h>
 #include <net/EventLoop.h>
@@ -56,6 +58,9 @@
   /** @return whether the version of the target may receive requests. It may
    *    not once a rollout has moved all requests to another version. */
   std::function<bool(const gateway::TargetInfo&)> mVersionTakesRequests;
+  /** @return how long requests of the route usually take at all targets, if
+   *    known. */
+  std::function<std::optional<Millis>(const std::string&)> mUsualRunTime;
 };
 
 struct LocalTargetProxyOptions
@@ -100,11 +105,19 @@
 
   /** Applies the rule of the desired state for the service.
    *  @param aRule nullptr if the desired state does not have the service. */
-  void SetServiceRule(const gateway::ServiceRule* aRule)
+  void SetServiceRule(const gateway::ServiceRule* aRule);
+
+  /** @return whether the requests to a starting target are paced: if its
+   * service has a cold rate, or if it reports how fast it is at present. */
+  [[nodiscard]] bool UsesPace() const
   {
-    mColdLimiter.SetRate(aRule == nullptr ? 0 : aRule->mColdRequestsPerSecond);
+    return mReportsSpeed || mColdLimiter.HasRate();
   }
 
+  /** Applies the loads of the other ready targets of the service to the pace.
+   *  To be called periodically if UsesPace(). */
+  void OnPeers(std::span<const gateway::TargetCandidate> aPeers);
+
   /** Handles the announcement that the target leaves, also one that an earlier
    *  process of this node has received. From then on, check-ins that this
    *  target process sends are ignored. */
@@ -137,6 +150,10 @@
   /** The weight of the newest run in the moving average of the success rate,
    *  which thus covers about the last 15 runs. */
   static constexpr double kSuccessWeight = 0.07;
+  /** Reasons of refusals because the target is cold and has got the requests
+   *  that it tolerates in a second, or because it has just started. */
+  static constexpr const char* kColdRateReason = "cold_rate";
+  static constexpr const char* kPaceReason = "pace";
 
   /** A call that waits for a slot or has been sent to the target. */
   struct ActiveCall
@@ -177,6 +194,15 @@
   /** Compares the target's reported load with the requests open at it, to
    *  find requests that the target has ended without a response arriving. */
   void OnLoadReport(const TargetReport& aReport);
+  /** Starts the pace of a target process that has started recently. */
+  void DecidePace();
+  /** Applies the result of a request to the pace. */
+  void OnPacedResult(const ActiveCall& aActive, const ReplyMessage& aReply);
+  /** @return the limit that a request would exceed, as the reason of a refusal,
+   *    or nullptr if it may be sent. */
+  [[nodiscard]] const char* ExceededLimit(Millis aNow) const;
+  /** @return the rate that other nodes are told; nullopt without a limit. */
+  [[nodiscard]] std::optional<double> AdmissionRate() const;
   /** Applies the time for which a response says that the target is cold. */
   void OnColdHeader(const HttpHeaders& aHeaders);
   /** @return the factor by which the target currently appears slower than
@@ -205,6 +231,15 @@
   /** The end of the target's cold-start period. */
   Millis mColdUntil;
   gateway::ColdRateLimiter mColdLimiter;
+  gateway::TargetPace mPace;
+  /** The state of the pace that was logged last. */
+  gateway::TargetPace::State mLoggedPace =
+    gateway::TargetPace::State::Unlimited;
+  /** Whether a target here has reported its present speed. */
+  bool mReportsSpeed = false;
+  /** Whether it was decided for this process of the target whether it is paced
+   *  from its start. */
+  bool mPaceDecided = false;
   /** The ids of targets that have left, with the wall-clock time of the
    *  announcement. */
   std::map<std::string, Millis> mLeftTargets;
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -40,10 +40,6 @@
 /** The shortest time between two probes. */
 constexpr Millis kProbeInterval = Seconds(1);
 
-/** The reason of a refusal because the target is cold and has got the requests
- *  that it tolerates in a second. */
-constexpr const char* kColdRateReason = "cold_rate";
-
 /** @return when the process that checks in started, on the steady clock, or
  *    nothing if it does not say so. */
 std::optional<Millis>
@@ -167,9 +163,11 @@
     mClient.CloseIdle();
     mRunTimes = {};
     mSuccessRate = 1;
+    mPaceDecided = false;
   }
   mTarget = target;
   mQueue.SetSlots(target.mSlots);
+  DecidePace();
   SetState(target.mState, "check-in");
   return true;
 }
@@ -305,10 +303,7 @@
   if (mHandlers.mIsQuarantined(aCall)) {
     return "quarantined";
   }
-  if (!mColdLimiter.MayAdmit(SteadyNow())) {
-    return kColdRateReason;
-  }
-  return nullptr;
+  return ExceededLimit(SteadyNow());
 }
 
 LocalTargetProxy::CallId
@@ -361,13 +356,14 @@
 LocalTargetProxy::Start(CallId aId)
 {
   const Millis now = SteadyNow();
-  if (!mColdLimiter.MayAdmit(now)) {
+  if (const char* const limit = ExceededLimit(now)) {
     // The target became cold, or others were started, while the call waited.
-    Refuse(aId, kColdRateReason);
+    Refuse(aId, limit);
     FreeSlot();
     return;
   }
   mColdLimiter.OnSent(now);
+  mPace.OnSent(now);
   ActiveCall& active = mActiveCalls.at(aId);
   const CallMessage& call = active.mCall;
   const HeaderNames& names = mProtocol.Headers();
@@ -486,6 +482,7 @@
   }
   const auto report = mProtocol.DecodeLoad(response.mHeaders);
   OnColdHeader(response.mHeaders);
+  OnPacedResult(active, reply);
   Finish(aId, std::move(reply));
   FreeSlot();
   if (report) {
@@ -521,7 +518,7 @@
                       .mRetryAfter = mQueue.ExpectedWait(
                         active.mCall.mPriority,
                         mRunTimes.Mean(active.mCall.mRoute)) };
-  if (aReason == kColdRateReason) {
+  if (aReason == kColdRateReason || aReason == kPaceReason) {
     const Millis now = SteadyNow();
     mColdLimiter.OnHandedBack(now);
     mMetrics.OnHandedBack(aReason);
@@ -607,6 +604,7 @@
     mClient.Cancel(active.mClientCall);
     mHandlers.mCallLost(active.mCall);
     mSuccessRate *= 1 - kSuccessWeight;
+    OnPacedResult(active, { .mOutcome = CallOutcome::Unknown });
     mMetrics.OnRun("deadline", now - active.mStartedAt);
     if (mLastResponseAt < active.mStartedAt) {
       // The target has answered nothing since this request was sent, so its
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -1,9 +1,7 @@
 #include <sidecar/LocalTargetProxy.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
-#include <string_view>
 #include <vector>
 
 namespace papayaway::sidecar {
@@ -20,15 +18,16 @@
  *  again. */
 constexpr Millis kDecayHalfLife = Seconds(3);
 
-/** The longest time for which a target may say that it is cold. */
-constexpr Millis kMaxColdTime = Seconds(3600);
-
 } // namespace
 
 void
 LocalTargetProxy::OnLoadReport(const TargetReport& aReport)
 {
   const Millis now = SteadyNow();
+  if (aReport.mSlowdown && !mReportsSpeed) {
+    mReportsSpeed = true;
+    DecidePace();
+  }
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
       const ActiveCall& active = aEntry.second;
@@ -42,24 +41,6 @@
   Apply(mQueue.SetLostResponses(lost, now));
 }
 
-void
-LocalTargetProxy::OnColdHeader(const HttpHeaders& aHeaders)
-{
-  const std::string_view text = aHeaders.Value(mProtocol.Headers().mColdLeft);
-  std::uint32_t millis = 0;
-  const char* const end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, millis);
-  if (text.empty()) {
-    return;
-  }
-  if (parsed.ec != std::errc() || parsed.ptr != end ||
-      Millis{ static_cast<double>(millis) } > kMaxColdTime) {
-    mMetrics.mBadInput.Increment();
-    return;
-  }
-  mColdLimiter.OnResponse(Millis{ static_cast<double>(millis) }, SteadyNow());
-}
-
 double
 LocalTargetProxy::Slowdown() const
 {
@@ -84,7 +65,7 @@
            .mMeanRunTime =
              mRunTimes.OverallMean() * (0.5 + 0.5 * decay) * Slowdown(),
            .mSuccessRate = 1 - (1 - mSuccessRate) * decay,
-           .mAdmissionRate = mColdLimiter.AdvisedRate(SteadyNow()) };
+           .mAdmissionRate = AdmissionRate() };
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -115,6 +115,10 @@
                    .mVersionTakesRequests =
                      [this](const gateway::TargetInfo& aTarget) {
                        return mRollouts.TakesRequests(aTarget);
+                     },
+                   .mUsualRunTime =
+                     [this](const std::string& aRoute) {
+                       return mDispatcher.UsualRunTime(aRoute);
                      } },
                  mLog,
                  mMetrics)
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -171,6 +171,9 @@
   [[nodiscard]] bool Ready() const;
   void Tick();
   [[nodiscard]] LoadMessage OwnLoad() const;
+  /** Applies the loads of the other targets of the service to the pace of the
+   *  local one. */
+  void UpdatePace();
   /** Sends the local target's load to other nodes when it is due. */
   void SendOwnLoad(Millis aNow);
   /** @return whether the relay sends the loads of the own data centre within it
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -66,6 +66,17 @@
   }
 }
 
+void
+Sidecar::Impl::UpdatePace()
+{
+  if (mLocalTarget.UsesPace()) {
+    mLocalTarget.OnPeers(
+      mTargets.Candidates({ .mService = mSettings.mService,
+                            .mVersion = {},
+                            .mExcluded = { mSettings.mName } }));
+  }
+}
+
 void
 Sidecar::Impl::Tick()
 {
@@ -89,6 +100,7 @@
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
+    UpdatePace();
     SendOwnLoad(now);
     SendDataCentreLoads(now);
     const gateway::TargetLoad load = mLocalTarget.Load();
