--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -92,45 +92,48 @@
                    .mChanged = [this] { mLocalTarget.RefuseMisplaced(); } },
                  mLog,
                  mMetrics)
-  , mLocalTarget(aLoop,
-                 { .mNode = aSettings.mName,
-                   .mAddress = aSettings.mTargetAddress,
-                   .mService = aSettings.mService,
-                   .mColdRate = { .mFactor = aSettings.mColdFactor,
-                                  .mSlack = aSettings.mColdSlack } },
-                 aProtocol,
-                 { .mStateChanged = [this] { PublishRecord(); },
-                   .mRunFinished =
-                     [this](const RunReport& aRun) {
-                       mRollouts.OnRun(mSettings.mName, mIncarnation, aRun);
-                     },
-                   .mCallLost =
-                     [this](const CallMessage& aCall) {
-                       mCrashes.OnCallLost(aCall, SteadyNow());
-                     },
-                   .mAnswered =
-                     [this](const CallMessage& aCall, Millis aSentAt) {
-                       mCrashes.OnAnswered(aCall, aSentAt, SteadyNow());
-                     },
-                   .mTargetEnded =
-                     [this](std::optional<Millis> aReplacedAt) {
-                       mCrashes.OnTargetEnded(
-                         mSettings.mService, aReplacedAt, SteadyNow());
-                     },
-                   .mIsQuarantined =
-                     [this](const CallMessage& aCall) {
-                       return mCrashes.IsQuarantined(aCall);
-                     },
-                   .mVersionTakesRequests =
-                     [this](const gateway::TargetInfo& aTarget) {
-                       return mRollouts.TakesRequests(aTarget);
-                     },
-                   .mPlacementRefusal =
-                     [this](const CallMessage& aCall) {
-                       return PlacementRefusal(aCall);
-                     } },
-                 mLog,
-                 mMetrics)
+  , mLocalTarget(
+      aLoop,
+      { .mNode = aSettings.mName,
+        .mAddress = aSettings.mTargetAddress,
+        .mService = aSettings.mService,
+        .mColdRate = { .mFactor = aSettings.mColdFactor,
+                       .mSlack = aSettings.mColdSlack } },
+      aProtocol,
+      { .mStateChanged = [this] { PublishRecord(); },
+        .mRunFinished =
+          [this](const RunReport& aRun) {
+            mRollouts.OnRun(mSettings.mName, mIncarnation, aRun);
+          },
+        .mCallLost =
+          [this](const CallMessage& aCall) {
+            mCrashes.OnCallLost(aCall, SteadyNow());
+          },
+        .mAnswered =
+          [this](const CallMessage& aCall, Millis aSentAt) {
+            mCrashes.OnAnswered(aCall, aSentAt, SteadyNow());
+          },
+        .mTargetEnded =
+          [this](std::optional<Millis> aReplacedAt) {
+            mCrashes.OnTargetEnded(
+              mSettings.mService, aReplacedAt, SteadyNow());
+          },
+        .mIsQuarantined =
+          [this](const CallMessage& aCall) {
+            return mCrashes.IsQuarantined(aCall);
+          },
+        .mVersionTakesRequests =
+          [this](const gateway::TargetInfo& aTarget) {
+            return mRollouts.TakesRequests(aTarget);
+          },
+        .mPlacementRefusal =
+          [this](const CallMessage& aCall) { return PlacementRefusal(aCall); },
+        .mUsualRunTime =
+          [this](const std::string& aRoute) {
+            return mDispatcher.UsualRunTime(aRoute);
+          } },
+      mLog,
+      mMetrics)
   , mCaps(
       aLoop,
       { .mDataCentre = aSettings.mDataCentre,
