Share scarce slots between tenants

Cause: a queue served requests of equal priority in order of arrival. A tenant that sends 7 times its usual rate then gets 7 times its share of a target that has too little capacity, and the other tenants lose it.

Change: FairShares orders requests of the same priority by start-time fair queueing, weighted by the tenants' usage caps, and SlotQueue uses the order for the expected wait of a new request as well. Requests without a tenant, and so all of deployments without tenants, keep the order of arrival. An unused share is saved up for two requests.

Result: test_gateway (89) and test_sidecar (19) pass under sanitizers.

--- a/libs/gateway/include/gateway/SlotQueue.h
+++ b/libs/gateway/include/gateway/SlotQueue.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include <base/Millis.h>
+#include <gateway/FairShares.h>
 
 namespace papayaway::gateway {
 
@@ -22,6 +24,12 @@
   Millis mRunTime;
   /** The time within which about 3 in 4 requests of its route end. */
   Millis mRunTimeP75;
+  /** The tenant that the slot time counts for; empty if there is none. */
+  std::string mTenant;
+  /** The tenant's share of the slots, relative to those of others. */
+  double mWeight = 1;
+  /** Set by SlotQueue: orders requests of the same priority, see FairShares. */
+  double mTag = 0;
 
   bool operator==(const SlotRequest&) const = default;
 };
@@ -40,7 +48,8 @@
  * Starts, queues or refuses the requests for the slots of one target.
  *
  * The most urgent waiting request is started first; requests of the same
- * priority are started in order of arrival. A request that would have to wait
+ * priority are started in the order in which their tenants are due, those
+ * without a tenant in order of arrival. A request that would have to wait
  * and then miss its objective is refused at once, so that it can be sent to
  * another target or retried later. A waiting request is refused when more
  * urgent requests delay it so much that it would miss its objective.
@@ -97,6 +106,16 @@
   [[nodiscard]] bool ShouldRefuse(const SlotRequest& aRequest,
                                   Millis aStart,
                                   bool aOthersWaiting) const;
+  /** @param aTag the greatest tag of requests of the same priority that go
+   *    before the new one.
+   *  @return how long a new request would wait for a slot. */
+  [[nodiscard]] Millis ExpectedWait(int aPriority,
+                                    double aTag,
+                                    Millis aRunTime) const;
+  /** Adds a request to the shares and to the started requests. */
+  void StartAtOnce(const SlotRequest& aRequest, SlotActions& aActions);
+  /** Handles the end of a request that has left mWaiting without a start. */
+  void OnNotStarted(const SlotRequest& aRequest);
   /** Starts waiting requests while slots are free; refuses those that would
    *  end too late. */
   void StartWaiting(Millis aNow, SlotActions& aActions);
@@ -106,8 +125,9 @@
   int mStarted = 0;
   /** How many of these hold no slot, see SetLostResponses(). */
   int mLostResponses = 0;
-  /** Ordered by priority, then by arrival. */
+  /** Ordered by priority, then by tag, then by arrival. */
   std::vector<SlotRequest> mWaiting;
+  FairShares mShares;
 };
 
 } // namespace papayaway::gateway
--- a/libs/gateway/include/gateway/TenantDirectory.h
+++ b/libs/gateway/include/gateway/TenantDirectory.h
@@ -56,6 +56,11 @@
   /** @return the tenant, or nullptr if there is none with this name. */
   [[nodiscard]] const Tenant* FindByName(std::string_view aName) const;
 
+  /** @return the share of the tenant in scarce capacity, relative to those of
+   *    others: its usage cap, or the mean cap if it has none. Callers of a
+   * tenant with a greater cap usually send more. */
+  [[nodiscard]] double Weight(std::string_view aName) const;
+
   /** Combines the priorities of tenant and route into one number. That of the
    *  tenant takes precedence; between equal ones, that of the route decides.
    *  Without tenants it is that of the route.
@@ -76,6 +81,8 @@
   std::vector<Tenant> mTenants;
   Index mByKey;
   Index mByName;
+  /** The mean usage cap of the tenants that have one. */
+  double mMeanRate = 1;
 };
 
 } // namespace papayaway::gateway
--- a/libs/gateway/src/SlotQueue.cpp
+++ b/libs/gateway/src/SlotQueue.cpp
@@ -1,6 +1,8 @@
 #include <gateway/SlotQueue.h>
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 
 namespace papayaway::gateway {
 
@@ -19,19 +21,42 @@
 
 Millis
 SlotQueue::ExpectedWait(int aPriority, Millis aRunTime) const
+{
+  return ExpectedWait(
+    aPriority, std::numeric_limits<double>::infinity(), aRunTime);
+}
+
+Millis
+SlotQueue::ExpectedWait(int aPriority, double aTag, Millis aRunTime) const
 {
   if (Running() < mSlots && mWaiting.empty()) {
     return {};
   }
   Millis workAhead = aRunTime;
   for (const SlotRequest& waiting : mWaiting) {
-    if (waiting.mPriority <= aPriority) {
+    if (std::tie(waiting.mPriority, waiting.mTag) <=
+        std::tie(aPriority, aTag)) {
       workAhead += waiting.mRunTime;
     }
   }
   return workAhead * (1.0 / std::max(1, mSlots));
 }
 
+void
+SlotQueue::StartAtOnce(const SlotRequest& aRequest, SlotActions& aActions)
+{
+  mShares.OnStarted(
+    mShares.Add(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime));
+  ++mStarted;
+  aActions.mStart.push_back(aRequest.mId);
+}
+
+void
+SlotQueue::OnNotStarted(const SlotRequest& aRequest)
+{
+  mShares.OnRemoved(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime);
+}
+
 SlotActions
 SlotQueue::Offer(const SlotRequest& aRequest, Millis aNow)
 {
@@ -40,24 +65,30 @@
     if (aNow + aRequest.mRunTime > aRequest.mDeadline) {
       actions.mRefuse.push_back(aRequest.mId);
     } else {
-      ++mStarted;
-      actions.mStart.push_back(aRequest.mId);
+      StartAtOnce(aRequest, actions);
     }
     return actions;
   }
-  const Millis wait = ExpectedWait(aRequest.mPriority, aRequest.mRunTime);
+  const Millis wait = ExpectedWait(
+    aRequest.mPriority,
+    mShares.NextTag(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime),
+    aRequest.mRunTime);
   if (ShouldRefuse(aRequest, aNow + wait, true)) {
     actions.mRefuse.push_back(aRequest.mId);
     return actions;
   }
+  SlotRequest request = aRequest;
+  request.mTag =
+    mShares.Add(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime);
   const auto position =
     std::upper_bound(mWaiting.begin(),
                      mWaiting.end(),
-                     aRequest,
+                     request,
                      [](const SlotRequest& aNew, const SlotRequest& aOther) {
-                       return aNew.mPriority < aOther.mPriority;
+                       return std::tie(aNew.mPriority, aNew.mTag) <
+                              std::tie(aOther.mPriority, aOther.mTag);
                      });
-  mWaiting.insert(position, aRequest);
+  mWaiting.insert(position, std::move(request));
   StartWaiting(aNow, actions);
   return actions;
 }
@@ -69,9 +100,11 @@
     const SlotRequest next = mWaiting.front();
     mWaiting.erase(mWaiting.begin());
     if (ShouldRefuse(next, aNow, !mWaiting.empty())) {
+      OnNotStarted(next);
       aActions.mRefuse.push_back(next.mId);
       continue;
     }
+    mShares.OnStarted(next.mTag);
     ++mStarted;
     aActions.mStart.push_back(next.mId);
   }
@@ -106,6 +139,7 @@
   std::erase_if(mWaiting, [&](const SlotRequest& aRequest) {
     const Millis wait = workAhead * (1.0 / std::max(1, mSlots));
     if (ShouldRefuse(aRequest, aNow + wait, true)) {
+      OnNotStarted(aRequest);
       actions.mRefuse.push_back(aRequest.mId);
       return true;
     }
@@ -118,9 +152,16 @@
 bool
 SlotQueue::Cancel(std::uint64_t aId)
 {
-  return std::erase_if(mWaiting, [&](const SlotRequest& aRequest) {
-           return aRequest.mId == aId;
-         }) > 0;
+  const auto found = std::find_if(
+    mWaiting.begin(), mWaiting.end(), [&](const SlotRequest& aRequest) {
+      return aRequest.mId == aId;
+    });
+  if (found == mWaiting.end()) {
+    return false;
+  }
+  OnNotStarted(*found);
+  mWaiting.erase(found);
+  return true;
 }
 
 std::vector<std::uint64_t>
@@ -129,6 +170,7 @@
   std::vector<std::uint64_t> ids;
   ids.reserve(mWaiting.size());
   for (const SlotRequest& waiting : mWaiting) {
+    OnNotStarted(waiting);
     ids.push_back(waiting.mId);
   }
   mWaiting.clear();
--- a/libs/gateway/src/TenantDirectory.cpp
+++ b/libs/gateway/src/TenantDirectory.cpp
@@ -19,12 +19,19 @@
 TenantDirectory::TenantDirectory(std::vector<Tenant> aTenants)
   : mTenants(std::move(aTenants))
 {
+  double rates = 0;
+  int limited = 0;
   for (std::size_t i = 0; i < mTenants.size(); ++i) {
+    rates += mTenants[i].mRequestsPerSecond;
+    limited += mTenants[i].mRequestsPerSecond > 0 ? 1 : 0;
     mByName.emplace(mTenants[i].mName, i);
     for (const std::string& key : mTenants[i].mKeys) {
       mByKey.emplace(key, i);
     }
   }
+  if (limited > 0) {
+    mMeanRate = rates / limited;
+  }
 }
 
 const Tenant*
@@ -55,6 +62,15 @@
   return Find(mByName, aName);
 }
 
+double
+TenantDirectory::Weight(std::string_view aName) const
+{
+  const Tenant* const tenant = FindByName(aName);
+  return tenant != nullptr && tenant->mRequestsPerSecond > 0
+           ? tenant->mRequestsPerSecond
+           : mMeanRate;
+}
+
 int
 TenantDirectory::Priority(const Tenant* aTenant, int aRoutePriority) const
 {
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -54,6 +54,9 @@
   /** @return whether the version of the target may receive requests. It may
    *    not once a rollout has moved all requests to another version. */
   std::function<bool(const gateway::TargetInfo&)> mVersionTakesRequests;
+  /** @return the share of a tenant in the slots, relative to those of others.
+   */
+  std::function<double(const std::string&)> mTenantWeight;
 };
 
 struct LocalTargetProxyOptions
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -304,7 +304,10 @@
     .mDeadline = deadline,
     .mObjective = now + aCall.mObjectiveLeft,
     .mRunTime = mRunTimes.Mean(aCall.mRoute) * slowdown,
-    .mRunTimeP75 = mRunTimes.Percentile75(aCall.mRoute) * slowdown
+    .mRunTimeP75 = mRunTimes.Percentile75(aCall.mRoute) * slowdown,
+    .mTenant = aCall.mTenant,
+    .mWeight =
+      aCall.mTenant.empty() ? 1 : mHandlers.mTenantWeight(aCall.mTenant)
   };
   const char* const reason = RefusalReason(aCall);
   mActiveCalls.emplace(id,
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -113,6 +113,12 @@
                    .mVersionTakesRequests =
                      [this](const gateway::TargetInfo& aTarget) {
                        return mRollouts.TakesRequests(aTarget);
+                     },
+                   .mTenantWeight =
+                     [this](const std::string& aTenant) {
+                       return mRoutingTable
+                                ? mRoutingTable->Tenants()->Weight(aTenant)
+                                : 1.0;
                      } },
                  mLog,
                  mMetrics)
