--- a/libs/gateway/src/SlotQueue.cpp
+++ b/libs/gateway/src/SlotQueue.cpp
@@ -1,17 +1,18 @@
 #include <gateway/SlotQueue.h>
 
 #include <algorithm>
-#include <utility>
+#include <limits>
+#include <tuple>
 
 namespace papayaway::gateway {
 
 namespace {
 
 /** @return a key by which waiting requests are started in ascending order. */
-std::pair<int, bool>
-OrderKey(int aPriority, bool aNestedCall)
+std::tuple<int, bool, double>
+OrderKey(int aPriority, bool aNestedCall, double aTag)
 {
-  return { aPriority, !aNestedCall };
+  return { aPriority, !aNestedCall, aTag };
 }
 
 } // namespace
@@ -31,20 +32,45 @@
 
 Millis
 SlotQueue::ExpectedWait(int aPriority, Millis aRunTime, bool aNestedCall) const
+{
+  return ExpectedWait(
+    aPriority, aNestedCall, std::numeric_limits<double>::infinity(), aRunTime);
+}
+
+Millis
+SlotQueue::ExpectedWait(int aPriority,
+                        bool aNestedCall,
+                        double aTag,
+                        Millis aRunTime) const
 {
   if (Running() < mSlots && mWaiting.empty()) {
     return {};
   }
   Millis workAhead = aRunTime;
   for (const SlotRequest& waiting : mWaiting) {
-    if (OrderKey(waiting.mPriority, waiting.mNestedCall) <=
-        OrderKey(aPriority, aNestedCall)) {
+    if (OrderKey(waiting.mPriority, waiting.mNestedCall, waiting.mTag) <=
+        OrderKey(aPriority, aNestedCall, aTag)) {
       workAhead += waiting.mRunTime;
     }
   }
   return workAhead * (1.0 / std::max(1, mSlots));
 }
 
+void
+SlotQueue::StartAtOnce(const SlotRequest& aRequest, SlotActions& aActions)
+{
+  mShares.OnStarted(
+    mShares.Add(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime));
+  ++mStarted;
+  aActions.mStart.push_back(aRequest.mId);
+}
+
+void
+SlotQueue::OnNotStarted(const SlotRequest& aRequest)
+{
+  mShares.OnRemoved(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime);
+}
+
 SlotActions
 SlotQueue::Offer(const SlotRequest& aRequest, Millis aNow)
 {
@@ -53,26 +79,31 @@
     if (aNow + aRequest.mRunTime > aRequest.mDeadline) {
       actions.mRefuse.push_back(aRequest.mId);
     } else {
-      ++mStarted;
-      actions.mStart.push_back(aRequest.mId);
+      StartAtOnce(aRequest, actions);
     }
     return actions;
   }
-  const Millis wait =
-    ExpectedWait(aRequest.mPriority, aRequest.mRunTime, aRequest.mNestedCall);
+  const Millis wait = ExpectedWait(
+    aRequest.mPriority,
+    aRequest.mNestedCall,
+    mShares.NextTag(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime),
+    aRequest.mRunTime);
   if (ShouldRefuse(aRequest, aNow + wait, true)) {
     actions.mRefuse.push_back(aRequest.mId);
     return actions;
   }
-  const auto position =
-    std::upper_bound(mWaiting.begin(),
-                     mWaiting.end(),
-                     aRequest,
-                     [](const SlotRequest& aNew, const SlotRequest& aOther) {
-                       return OrderKey(aNew.mPriority, aNew.mNestedCall) <
-                              OrderKey(aOther.mPriority, aOther.mNestedCall);
-                     });
-  mWaiting.insert(position, aRequest);
+  SlotRequest request = aRequest;
+  request.mTag =
+    mShares.Add(aRequest.mTenant, aRequest.mWeight, aRequest.mRunTime);
+  const auto position = std::upper_bound(
+    mWaiting.begin(),
+    mWaiting.end(),
+    request,
+    [](const SlotRequest& aNew, const SlotRequest& aOther) {
+      return OrderKey(aNew.mPriority, aNew.mNestedCall, aNew.mTag) <
+             OrderKey(aOther.mPriority, aOther.mNestedCall, aOther.mTag);
+    });
+  mWaiting.insert(position, std::move(request));
   StartWaiting(aNow, actions);
   return actions;
 }
@@ -84,9 +115,11 @@
     const SlotRequest next = mWaiting.front();
     mWaiting.erase(mWaiting.begin());
     if (ShouldRefuse(next, aNow, !mWaiting.empty())) {
+      OnNotStarted(next);
       aActions.mRefuse.push_back(next.mId);
       continue;
     }
+    mShares.OnStarted(next.mTag);
     ++mStarted;
     aActions.mStart.push_back(next.mId);
   }
@@ -121,6 +154,7 @@
   std::erase_if(mWaiting, [&](const SlotRequest& aRequest) {
     const Millis wait = workAhead * (1.0 / std::max(1, mSlots));
     if (ShouldRefuse(aRequest, aNow + wait, true)) {
+      OnNotStarted(aRequest);
       actions.mRefuse.push_back(aRequest.mId);
       return true;
     }
@@ -133,9 +167,16 @@
 bool
 SlotQueue::Cancel(std::uint64_t aId)
 {
-  return std::erase_if(mWaiting, [&](const SlotRequest& aRequest) {
-           return aRequest.mId == aId;
-         }) > 0;
+  const auto found = std::find_if(
+    mWaiting.begin(), mWaiting.end(), [&](const SlotRequest& aRequest) {
+      return aRequest.mId == aId;
+    });
+  if (found == mWaiting.end()) {
+    return false;
+  }
+  OnNotStarted(*found);
+  mWaiting.erase(found);
+  return true;
 }
 
 std::vector<std::uint64_t>
@@ -144,6 +185,7 @@
   std::vector<std::uint64_t> ids;
   ids.reserve(mWaiting.size());
   for (const SlotRequest& waiting : mWaiting) {
+    OnNotStarted(waiting);
     ids.push_back(waiting.mId);
   }
   mWaiting.clear();
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -67,6 +67,9 @@
   /** @return how long requests of the route usually take at all targets, if
    *    known. */
   std::function<std::optional<Millis>(const std::string&)> mUsualRunTime;
+  /** @return the share of a tenant in the slots, relative to those of others.
+   */
+  std::function<double(const std::string&)> mTenantWeight;
 };
 
 struct LocalTargetProxyOptions
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -131,6 +131,11 @@
         .mUsualRunTime =
           [this](const std::string& aRoute) {
             return mDispatcher.UsualRunTime(aRoute);
+          },
+        .mTenantWeight =
+          [this](const std::string& aTenant) {
+            return mRoutingTable ? mRoutingTable->Tenants()->Weight(aTenant)
+                                 : 1.0;
           } },
       mLog,
       mMetrics)
