Use the present speed of targets and spread requests under old reports

All nodes choose by the same reports. With reports up to 2 s old they all chose the targets that were idle when they reported: the busiest target had up to 6.6 times the mean, and 9 of 10 requests queued while another target had a free slot.

The target's node uses the reported slowdown for requests that arrive, relative to its average, and hands back those that would miss the objective only because of it. Other nodes get it as TargetLoad::mSlowdown and discount it with its age. ChooseTarget() can choose at random in proportion to free capacity; the older a report, the more the average of the targets takes its place. Active only with tenants or on nodes whose target reports its present speed; without a reported slowdown the other choice computes the same values as before.

Tested: test_gateway (99 tests), test_sidecar and test_adapter (57 tests) pass with sanitizers.

--- a/libs/gateway/include/gateway/LoadReportFilter.h
+++ b/libs/gateway/include/gateway/LoadReportFilter.h
@@ -19,8 +19,8 @@
   double mUtilizationStep = 0.1;
   /** The smallest change of the success rate that is reported. */
   double mSuccessRateStep = 0.1;
-  /** A change of the mean run time is reported if it rises or falls by at least
-   *  this factor. */
+  /** A change of the mean run time, with the present slowdown, is reported if
+   * it rises or falls by at least this factor. */
   double mRunTimeFactor = 1.25;
   /** The longest time between two reports; the load is reported again after it,
    *  even if unchanged. */
--- a/libs/gateway/include/gateway/TargetChoice.h
+++ b/libs/gateway/include/gateway/TargetChoice.h
@@ -46,6 +46,8 @@
   std::string_view mNode;
   Distance mDistance = Distance::SameDataCentre;
   TargetLoad mLoad;
+  /** The time since the load was reported. */
+  Millis mReportAge;
   /** Requests that this node has sent there since the last load report. */
   int mSentSinceReport = 0;
 };
@@ -58,6 +60,9 @@
   /** The mean run time of the route, divided by the mean run time of all
    *  requests of the service. */
   double mRunTimeRatio = 1;
+  /** Whether to spread the requests over the suitable targets in proportion to
+   *  their free capacity, see ChooseTarget(). */
+  bool mSpread = false;
 };
 
 /** The costs of distance and of failures, as equivalent waiting times. The cost
@@ -103,6 +108,14 @@
  * their requests to the same target. A small fraction of requests goes to any
  * suitable candidate, so that the times of the others stay known.
  *
+ * If the requirements ask for it, it chooses at random among the nearest
+ * targets that are expected to meet the objective, with probabilities in
+ * proportion to their free capacity and to the inverse of their expected time.
+ * The older a report, the more the average of the targets takes its place: a
+ * target whose report is older than the mean run time has ended most of the
+ * requests that it reported. So many nodes with old reports don't all choose
+ * the target that was idle when it reported.
+ *
  * @return the choice, or nullopt if there are no candidates.
  */
 std::optional<TargetChoice> ChooseTarget(
--- a/libs/gateway/src/LoadReportFilter.cpp
+++ b/libs/gateway/src/LoadReportFilter.cpp
@@ -34,10 +34,10 @@
       mOptions.mSuccessRateStep) {
     return true;
   }
-  return aLoad.mMeanRunTime >=
-           mLastReport->mMeanRunTime * mOptions.mRunTimeFactor ||
-         mLastReport->mMeanRunTime >=
-           aLoad.mMeanRunTime * mOptions.mRunTimeFactor;
+  const Millis runTime = aLoad.mMeanRunTime * aLoad.mSlowdown;
+  const Millis lastRunTime = mLastReport->mMeanRunTime * mLastReport->mSlowdown;
+  return runTime >= lastRunTime * mOptions.mRunTimeFactor ||
+         lastRunTime >= runTime * mOptions.mRunTimeFactor;
 }
 
 void
--- a/libs/gateway/tests/TargetChoiceTest.cpp
+++ b/libs/gateway/tests/TargetChoiceTest.cpp
@@ -105,5 +105,71 @@
   EXPECT_GT(counts[1], 60);
 }
 
+/** @return the share of requests of the first candidate among itself and 9
+ * usual ones in the same data centre, by a spread choice. */
+double
+ShareOf(const TargetCandidate& aFirst)
+{
+  std::vector<TargetCandidate> candidates(
+    10, Candidate(Distance::SameDataCentre, 5));
+  candidates[0] = aFirst;
+  Random random(7);
+  int chosen = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    const auto choice =
+      ChooseTarget(candidates,
+                   { .mObjectiveLeft = Seconds(5), .mSpread = true },
+                   {},
+                   random);
+    chosen += choice->mIndex == 0 ? 1 : 0;
+  }
+  return chosen / 10'000.0;
+}
+
+// Load: 10 targets, one of which answers fast with errors, hangs, runs on a
+// node that is 5 times slower, is in a slow period, or is full.
+// Guards against a target that gets its even share, a tenth, although requests
+// fail or take long there.
+TEST(TargetChoice, SpreadChoiceAvoidsUnsuitableTargets)
+{
+  EXPECT_NEAR(ShareOf(Candidate(Distance::SameDataCentre, 5)), 0.1, 0.01);
+  TargetCandidate failing =
+    Candidate(Distance::SameDataCentre, 0, Millis{ 10 });
+  failing.mLoad.mSuccessRate = 0;
+  EXPECT_LT(ShareOf(failing), 0.06);
+  const TargetCandidate hanging =
+    Candidate(Distance::SameDataCentre, 10, Seconds(3));
+  EXPECT_LT(ShareOf(hanging), 0.005);
+  const TargetCandidate slowNode =
+    Candidate(Distance::SameDataCentre, 5, Seconds(1));
+  EXPECT_LT(ShareOf(slowNode), 0.03);
+  TargetCandidate slow = Candidate(Distance::SameDataCentre, 5);
+  slow.mLoad.mSlowdown = 2.5;
+  EXPECT_LT(ShareOf(slow), 0.05);
+  slow.mReportAge = Seconds(10);
+  EXPECT_GT(ShareOf(slow), 0.09) << "the report is old";
+  EXPECT_LT(ShareOf(Candidate(Distance::SameDataCentre, 10)), 0.025);
+}
+
+// Load: the targets of the own data centre are full, then all are.
+// Guards against a spread choice that stays with targets that miss the
+// objective, or goes to another region without need.
+TEST(TargetChoice, SpreadChoicePrefersNearTargetsWithinTheObjective)
+{
+  Random random(7);
+  const RequestRequirements requirements{ .mObjectiveLeft{ 600 },
+                                          .mSpread = true };
+  const std::vector<TargetCandidate> overflow = {
+    Candidate(Distance::SameDataCentre, 60),
+    Candidate(Distance::OtherRegion, 0),
+    Candidate(Distance::SameRegion, 0)
+  };
+  EXPECT_EQ(ChooseTarget(overflow, requirements, {}, random)->mIndex, 2U);
+  const std::vector<TargetCandidate> full = {
+    Candidate(Distance::SameDataCentre, 60), Candidate(Distance::SameRegion, 60)
+  };
+  EXPECT_TRUE(ChooseTarget(full, requirements, {}, random));
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -12,6 +12,7 @@
 #include <base/Millis.h>
 #include <gateway/CallAdmission.h>
 #include <gateway/CallParents.h>
+#include <gateway/PresentSpeed.h>
 #include <gateway/RetryAfter.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
@@ -119,7 +120,7 @@
   /** @return whether the control of load by calls is active on this node. */
   [[nodiscard]] bool LoadControlActive() const
   {
-    return mLoadControlRequested || mReportsSlowdown;
+    return mLoadControlRequested || mPresentSpeed.IsReported();
   }
 
   /** @param aRoute the route of a request that has arrived at this node.
@@ -175,6 +176,8 @@
     Millis mDeadline;
     /** When the call was sent to the target. */
     Millis mStartedAt;
+    /** How many times longer than usual work took then. */
+    double mSlowdownAtStart = 1;
     TargetClient::CallId mClientCall = 0;
     bool mSentToTarget = false;
   };
@@ -227,8 +230,7 @@
   gateway::CallAdmission mCallAdmission;
   gateway::CapacityPromises mPromises;
   bool mLoadControlRequested = false;
-  /** Whether the target has reported its present speed. */
-  bool mReportsSlowdown = false;
+  gateway::PresentSpeed mPresentSpeed;
   /** The fraction of runs that succeeded, 0 to 1, as a moving average. */
   double mSuccessRate = 1;
   Millis mLastRunEnd;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -165,7 +165,8 @@
   const auto choice = gateway::ChooseTarget(
     candidates,
     { .mObjectiveLeft = active.mArrivedAt + active.mRule->mObjective - now,
-      .mRunTimeRatio = RunTimeRatio(active) },
+      .mRunTimeRatio = RunTimeRatio(active),
+      .mSpread = mDependencies.mLocalTarget.LoadControlActive() },
     mOptions.mCosts,
     mDependencies.mRandom);
   if (!choice) {
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -39,6 +39,9 @@
 constexpr Millis kProbeTimeout = Seconds(1);
 /** The shortest time between two probes. */
 constexpr Millis kProbeInterval = Seconds(1);
+/** A request is handed back if only such a slow period of the target would let
+ *  it miss its objective. */
+constexpr double kHandBackSlowdown = 1.5;
 /** The fraction of a run that is left when its calls have ended; an estimate,
  *  because targets do not report when they make calls. */
 constexpr double kRunAfterCalls = 0.5;
@@ -302,7 +305,8 @@
   const CallId id = mNextId++;
   const Millis now = SteadyNow();
   const Millis deadline = now + aCall.mTimeLeft;
-  const double slowdown = Slowdown();
+  const double reportedSlowdown = mPresentSpeed.Slowdown(now);
+  const double slowdown = std::max(Slowdown(), reportedSlowdown);
   const SlotRequest request{
     .mId = id,
     .mPriority = aCall.mPriority,
@@ -322,6 +326,14 @@
     Refuse(id, reason);
     return id;
   }
+  if (reportedSlowdown >= kHandBackSlowdown &&
+      now + request.mRunTimeP75 > request.mObjective &&
+      now + request.mRunTimeP75 * (1 / reportedSlowdown) <=
+        request.mObjective) {
+    // Most other targets are not slow now and may answer in time.
+    Refuse(id, "target_slow");
+    return id;
+  }
   const ActiveCall& active = mActiveCalls.at(id);
   if (!active.mCall.mNestedCall &&
       !mCallAdmission.TryAdmit(active.mCall.mRoute, now)) {
@@ -372,6 +384,7 @@
                                 std::to_string(timeLeft.WholeMillis()));
   request.mMessage.mHeaders.Set(names.mTargetId, mTarget->mId);
   active.mStartedAt = now;
+  active.mSlowdownAtStart = mPresentSpeed.Slowdown(now);
   active.mSentToTarget = true;
   mCallParents.OnStarted(
     aId,
@@ -400,7 +413,9 @@
   mSuccessRate =
     mSuccessRate * (1 - kSuccessWeight) + (failed ? 0 : 1) * kSuccessWeight;
   if (!failed) {
-    mRunTimes.OnRun(aActive.mCall.mRoute, aTime);
+    const double slowdown =
+      (aActive.mSlowdownAtStart + mPresentSpeed.Slowdown(SteadyNow())) / 2;
+    mRunTimes.OnRun(aActive.mCall.mRoute, aTime * (1 / slowdown));
     mPromises.OnServed(SteadyNow());
   }
   mHandlers.mRunFinished({ .mService = mTarget->mService,
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -24,7 +24,9 @@
 LocalTargetProxy::OnLoadReport(const TargetReport& aReport)
 {
   const Millis now = SteadyNow();
-  mReportsSlowdown = mReportsSlowdown || aReport.mSlowdown.has_value();
+  if (aReport.mSlowdown) {
+    mPresentSpeed.OnReport(*aReport.mSlowdown, now);
+  }
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
       const ActiveCall& active = aEntry.second;
@@ -99,7 +101,8 @@
            .mWaiting = mQueue.Waiting(),
            .mMeanRunTime =
              mRunTimes.OverallMean() * (0.5 + 0.5 * decay) * Slowdown(),
-           .mSuccessRate = 1 - (1 - mSuccessRate) * decay };
+           .mSuccessRate = 1 - (1 - mSuccessRate) * decay,
+           .mSlowdown = mPresentSpeed.Slowdown(SteadyNow()) };
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/TargetDirectory.cpp
+++ b/libs/sidecar/src/TargetDirectory.cpp
@@ -119,6 +119,7 @@
     if (load != mLoads.end()) {
       candidate.mLoad = load->second.mLoad;
       candidate.mSentSinceReport = load->second.mSentSinceReport;
+      candidate.mReportAge = now - load->second.mReceivedAt;
     }
     candidate.mLoad.mSlots = record->mTarget->mSlots;
     candidates.push_back(candidate);
