--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -15,6 +15,7 @@
 #include <gateway/CallParents.h>
 #include <gateway/ColdRateLimiter.h>
 #include <gateway/DesiredState.h>
+#include <gateway/PresentSpeed.h>
 #include <gateway/RetryAfter.h>
 #include <gateway/RunTimes.h>
 #include <gateway/SlotQueue.h>
@@ -151,7 +152,7 @@
   /** @return whether the control of load by calls is active on this node. */
   [[nodiscard]] bool LoadControlActive() const
   {
-    return mLoadControlRequested || mReportsSlowdown;
+    return mLoadControlRequested || mPresentSpeed.IsReported();
   }
 
   /** @param aRoute the route of a request that has arrived at this node.
@@ -214,6 +215,8 @@
     Millis mDeadline;
     /** When the call was sent to the target. */
     Millis mStartedAt;
+    /** How many times longer than usual work took then. */
+    double mSlowdownAtStart = 1;
     TargetClient::CallId mClientCall = 0;
     bool mSentToTarget = false;
   };
@@ -277,8 +280,7 @@
   gateway::CallAdmission mCallAdmission;
   gateway::CapacityPromises mPromises;
   bool mLoadControlRequested = false;
-  /** Whether the target has reported its present speed. */
-  bool mReportsSlowdown = false;
+  gateway::PresentSpeed mPresentSpeed;
   /** The fraction of runs that succeeded, 0 to 1, as a moving average. */
   double mSuccessRate = 1;
   Millis mLastRunEnd;
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -188,7 +188,8 @@
   const auto choice = gateway::ChooseWithinRates(
     candidates,
     { .mObjectiveLeft = active.mArrivedAt + active.mRule->mObjective - now,
-      .mRunTimeRatio = RunTimeRatio(active) },
+      .mRunTimeRatio = RunTimeRatio(active),
+      .mSpread = mDependencies.mLocalTarget.LoadControlActive() },
     mOptions.mCosts,
     mDependencies.mRandom);
   if (!choice) {
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -24,9 +24,12 @@
 LocalTargetProxy::OnLoadReport(const TargetReport& aReport)
 {
   const Millis now = SteadyNow();
-  if (aReport.mSlowdown && !mReportsSlowdown) {
-    mReportsSlowdown = true;
-    DecidePace();
+  if (aReport.mSlowdown) {
+    mPresentSpeed.OnReport(*aReport.mSlowdown, now);
+    if (!mReportsSlowdown) {
+      mReportsSlowdown = true;
+      DecidePace();
+    }
   }
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
@@ -103,7 +106,8 @@
            .mMeanRunTime =
              mRunTimes.OverallMean() * (0.5 + 0.5 * decay) * Slowdown(),
            .mSuccessRate = 1 - (1 - mSuccessRate) * decay,
-           .mAdmissionRate = AdmissionRate() };
+           .mAdmissionRate = AdmissionRate(),
+           .mSlowdown = mPresentSpeed.Slowdown(SteadyNow()) };
 }
 
 } // namespace papayaway::sidecar
