Hand back waiting requests when a target becomes cold

Requests that wait for a slot were handed back only when a slot became free, too late for the entry node to send them elsewhere. They are now handed back with the check-in that reports the target as cold; no test covers this yet.

--- a/libs/gateway/src/RateLimitedChoice.cpp
+++ b/libs/gateway/src/RateLimitedChoice.cpp
@@ -70,15 +70,19 @@
                   const ChoiceCosts& aCosts,
                   Random& aRandom)
 {
+  const auto isLimited = [](const TargetCandidate& aCandidate) {
+    return aCandidate.mLoad.mAdmissionRate.has_value();
+  };
+  if (std::none_of(aCandidates.begin(), aCandidates.end(), isLimited) ||
+      std::all_of(aCandidates.begin(), aCandidates.end(), isLimited)) {
+    return ChooseTarget(aCandidates, aRequirements, aCosts, aRandom);
+  }
   std::vector<std::size_t> unlimited;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!aCandidates[i].mLoad.mAdmissionRate) {
+    if (!isLimited(aCandidates[i])) {
       unlimited.push_back(i);
     }
   }
-  if (unlimited.empty() || unlimited.size() == aCandidates.size()) {
-    return ChooseTarget(aCandidates, aRequirements, aCosts, aRandom);
-  }
   if (const auto limited = DrawLimited(aCandidates, aRandom)) {
     auto choice = ChooseTarget(
       aCandidates.subspan(*limited, 1), aRequirements, aCosts, aRandom);
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -144,6 +144,11 @@
                  { "limited", limited },
                  { "cold_left_ms", aCheckIn.mColdLeft.WholeMillis() } });
   }
+  if (limited && !wasLimited) {
+    // They would be handed back when a slot is free, which is too late for them
+    // to be sent elsewhere.
+    RefuseWaiting(kColdRateReason);
+  }
   // A target that has announced that it leaves stays draining until it
   // restarts.
   const bool wasLeaving = same && mTarget->mState == TargetState::Draining;
