Decide the pace with the first report of the present speed

Cause: after the merge two members stood for the same fact. Change: one remains, PresentSpeed::IsReported(). Result: the sidecar builds again.

--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -121,7 +121,7 @@
    * service has a cold rate, or if it reports how fast it is at present. */
   [[nodiscard]] bool UsesPace() const
   {
-    return mReportsSlowdown || mColdLimiter.HasRate();
+    return mPresentSpeed.IsReported() || mColdLimiter.HasRate();
   }
 
   /** Applies the loads of the other ready targets of the service to the pace.
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -25,9 +25,9 @@
 {
   const Millis now = SteadyNow();
   if (aReport.mSlowdown) {
+    const bool isFirst = !mPresentSpeed.IsReported();
     mPresentSpeed.OnReport(*aReport.mSlowdown, now);
-    if (!mReportsSlowdown) {
-      mReportsSlowdown = true;
+    if (isFirst) {
       DecidePace();
     }
   }
