Refuse unknown keys with 503 while the desired state is outdated

Cause: a node that has just started with an older state answered 401 to a key that a newer state has, which the other nodes accept. A caller takes 401 as final.

Change: while another node reports a newer version to a node that has just started, requests with keys that its state lacks are held or refused with 503 as well. An unconfirmed state (strict_revocation) still answers them with 401.

--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -16,6 +16,7 @@
 #include <gateway/RoutingTable.h>
 #include <gateway/RunTimes.h>
 #include <gateway/StartupQueue.h>
+#include <gateway/StateFreshness.h>
 #include <gateway/StopSchedule.h>
 #include <gateway/TargetChoice.h>
 #include <http/CallerServer.h>
@@ -56,8 +57,9 @@
   Random& mRandom;
   /** Chooses the versions allowed for one request of a service. */
   std::function<VersionChoice(const std::string&)> mChooseVersion;
-  /** @return why requests of tenants must be refused now, or nullptr. */
-  std::function<const char*()> mTenantRefusal;
+  /** @return whether the desired state in force may be too old to tell whose
+   *    keys are valid. */
+  std::function<gateway::StateDoubt()> mStateDoubt;
 };
 
 /**
@@ -177,13 +179,14 @@
   /** @return who sent the request, according to the desired state in force. */
   [[nodiscard]] gateway::CallerIdentity Identify(const HttpMessage& aRequest,
                                                  bool aPublic) const;
-  /** Holds or refuses a request of a tenant while the desired state is too old
-   *  to accept its key.
+  /** Holds or refuses a request with 503 if the desired state may be too old to
+   *  accept or reject its key.
    *  @return whether the request was held or refused. */
-  [[nodiscard]] bool RefuseTenantInDoubt(
+  [[nodiscard]] bool RefuseInDoubt(
     const std::shared_ptr<CallerExchange>& aExchange,
     Millis aArrivedAt,
-    const std::string& aRequestId);
+    const std::string& aRequestId,
+    const gateway::CallerIdentity& aIdentity);
   /** Withdraws the requests that the desired state in force no longer accepts
    *  from nodes where they wait. Those that have started continue. */
   void RevokeRequests();
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -99,12 +99,11 @@
   }
   const gateway::CallerIdentity identity =
     Identify(request, rule->mRule.mPublic);
-  if (!identity.mAccepted) {
-    Refuse(*aExchange, requestId, 401, kUnknownCredential, {});
+  if (RefuseInDoubt(aExchange, aArrivedAt, requestId, identity)) {
     return;
   }
-  if (identity.mTenant != nullptr &&
-      RefuseTenantInDoubt(aExchange, aArrivedAt, requestId)) {
+  if (!identity.mAccepted) {
+    Refuse(*aExchange, requestId, 401, kUnknownCredential, {});
     return;
   }
   if (requestId.empty()) {
--- a/libs/sidecar/src/DispatcherTenants.cpp
+++ b/libs/sidecar/src/DispatcherTenants.cpp
@@ -19,15 +19,29 @@
 }
 
 bool
-Dispatcher::RefuseTenantInDoubt(
-  const std::shared_ptr<CallerExchange>& aExchange,
-  Millis aArrivedAt,
-  const std::string& aRequestId)
+Dispatcher::RefuseInDoubt(const std::shared_ptr<CallerExchange>& aExchange,
+                          Millis aArrivedAt,
+                          const std::string& aRequestId,
+                          const gateway::CallerIdentity& aIdentity)
 {
-  const char* const reason = mDependencies.mTenantRefusal();
-  if (reason == nullptr) {
+  if (aIdentity.mAccepted && aIdentity.mTenant == nullptr) {
     return false;
   }
+  const char* reason = nullptr;
+  switch (mDependencies.mStateDoubt()) {
+    case gateway::StateDoubt::None:
+      return false;
+    case gateway::StateDoubt::Outdated:
+      // The newer state may also have keys that this one lacks.
+      reason = "state_outdated";
+      break;
+    case gateway::StateDoubt::Unconfirmed:
+      if (!aIdentity.mAccepted) {
+        return false;
+      }
+      reason = "state_unconfirmed";
+      break;
+  }
   if (!TryHold(aExchange, aArrivedAt)) {
     Refuse(*aExchange, aRequestId, 503, reason, kDefaultRetryAfter);
   }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -139,7 +139,8 @@
           [this](const std::string& aService) {
             return mRollouts.ChooseVersion(aService);
           },
-        .mTenantRefusal = [this] { return TenantRefusal(); } })
+        .mStateDoubt =
+          [this] { return mFreshness.Doubt(StateVersion(), BootNow()); } })
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -168,8 +168,6 @@
    *  @param aSource where it came from, for the log.
    *  @return whether it was put in force. */
   bool ApplyState(const std::string& aText, const char* aSource);
-  /** @return why requests of tenants must be refused now, or nullptr. */
-  [[nodiscard]] const char* TenantRefusal();
   /** @return the version of the desired state in force, or 0. */
   [[nodiscard]] std::uint64_t StateVersion() const;
   /** @return whether this node refuses tenants until it has the newest version
--- a/libs/sidecar/src/SidecarTenants.cpp
+++ b/libs/sidecar/src/SidecarTenants.cpp
@@ -15,20 +15,6 @@
          Millis{ static_cast<double>(time.tv_nsec) / 1e6 };
 }
 
-const char*
-Sidecar::Impl::TenantRefusal()
-{
-  switch (mFreshness.Doubt(StateVersion(), BootNow())) {
-    case gateway::StateDoubt::Outdated:
-      return "state_outdated";
-    case gateway::StateDoubt::Unconfirmed:
-      return "state_unconfirmed";
-    case gateway::StateDoubt::None:
-      break;
-  }
-  return nullptr;
-}
-
 std::uint64_t
 Sidecar::Impl::StateVersion() const
 {
