--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -171,7 +171,8 @@
             return mRollouts.ChooseVersion(aService);
           },
         .mEvacuations = mEvacuations.Set(),
-        .mTenantRefusal = [this] { return TenantRefusal(); } })
+        .mStateDoubt =
+          [this] { return mFreshness.Doubt(StateVersion(), BootNow()); } })
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -178,8 +178,6 @@
   bool ApplyState(const std::string& aText, const char* aSource);
   /** Passes the rules of the services on to those that apply them. */
   void ApplyServiceRules(const gateway::DesiredState& aState);
-  /** @return why requests of tenants must be refused now, or nullptr. */
-  [[nodiscard]] const char* TenantRefusal();
   /** @return the version of the desired state in force, or 0. */
   [[nodiscard]] std::uint64_t StateVersion() const;
   /** @return whether this node refuses tenants until it has the newest version
