Do not take requests of callers for calls of a request with the same time

A caller that states the same time as a request that started up to 40 ms before matched that request's deadline. With 20 requests a second of one route at a node that is more than half of the requests, so the route counted as one that targets call.

A call states at most the time that the target was told; a request of a caller states more, because the first one took time to reach the target. CallParents now compares that too, and requires 6 matches in 10. Calls refused because their request is quarantined no longer reduce the starts of their parents.

--- a/libs/gateway/include/gateway/CallParents.h
+++ b/libs/gateway/include/gateway/CallParents.h
@@ -19,6 +19,8 @@
   int mPriority = 0;
   /** The deadline that the target was told, on the clock of the node. */
   Millis mDeadline;
+  /** The time until then that the target was told, in whole milliseconds. */
+  Millis mTimeLeft;
   /** When its calls must have ended so that it meets its objective. */
   Millis mCallObjective;
 
@@ -39,7 +41,7 @@
    *  at this node match a running request. Requests of callers match by
    *  chance: with 18 running requests, whose deadlines spread over 2.5 s,
    *  about 3 in 10. */
-  double mMinMatchFraction = 0.5;
+  double mMinMatchFraction = 0.6;
   /** The maximum number of running requests that are remembered. */
   std::size_t mMaxParents = 1000;
   /** The maximum number of routes whose matches are counted. */
@@ -53,7 +55,10 @@
  * and the request that each belongs to.
  *
  * A call does not name its parent, but carries the time that remains until the
- * parent's deadline. A request of a caller may match a deadline by chance, so
+ * parent's deadline, which is at most the time that the target was told. A
+ * caller that states the same time as a request that it sent shortly before
+ * states more than that, because its request took time to reach the target.
+ * A request of a caller may match a deadline by chance, so
  * a match counts only for routes whose requests usually match. Of several
  * matching requests, one of the route that most often makes calls of this route
  * is chosen, then the one with the nearest deadline.
--- a/libs/gateway/src/CallParents.cpp
+++ b/libs/gateway/src/CallParents.cpp
@@ -60,7 +60,8 @@
   bool oneRoute = true;
   for (const auto& [id, parent] : mRunning) {
     const Millis later = deadline - parent.mDeadline;
-    if (later > mOptions.mMaxLater || later < mOptions.mMaxEarlier * -1) {
+    if (*aTimeLeft > parent.mTimeLeft || later > mOptions.mMaxLater ||
+        later < mOptions.mMaxEarlier * -1) {
       continue;
     }
     const auto found = counts.mParentRoutes.find(parent.mRoute);
--- a/libs/gateway/tests/CallParentsTest.cpp
+++ b/libs/gateway/tests/CallParentsTest.cpp
@@ -7,11 +7,15 @@
 namespace {
 
 RunningParent
-Parent(std::string aRoute, int aPriority, double aDeadline)
+Parent(std::string aRoute,
+       int aPriority,
+       double aDeadline,
+       double aTimeLeft = 10'000)
 {
   return { .mRoute = std::move(aRoute),
            .mPriority = aPriority,
-           .mDeadline = { aDeadline } };
+           .mDeadline = { aDeadline },
+           .mTimeLeft = { aTimeLeft } };
 }
 
 /** @return the priority that the call inherits, or -1 if it is no call of a
@@ -100,6 +104,26 @@
   EXPECT_GE(callsMatched, calls * 98 / 100);
 }
 
+// Load: callers send 23 take-payment requests a second, all with 1.5 s, to a
+// node whose target runs such requests.
+// Guards against requests of callers that are taken for calls of a request that
+// has started shortly before with the same time.
+TEST(CallParents, RequestsWithTheTimeOfARunningRequestAreNotCalls)
+{
+  Random random(11);
+  CallParents parents;
+  double now = 0;
+  for (std::uint64_t id = 1; id <= 500; ++id) {
+    now += UniformFraction(random) * 86;
+    EXPECT_EQ(Inherited(parents, "take-payment", 1500, now), -1);
+    parents.OnStarted(id, Parent("take-payment", 0, now + 0.3 + 1499.7, 1499));
+    if (id > 2) {
+      parents.OnEnded(id - 2);
+    }
+  }
+  EXPECT_EQ(Inherited(parents, "stock-check", 1499, now + 0.8), 0);
+}
+
 // Failed input: requests without the time that remains, ends of unknown
 // requests, and more routes and running requests than are remembered.
 // Guards against unbounded memory.
--- a/libs/sidecar/src/DispatcherAnswers.cpp
+++ b/libs/sidecar/src/DispatcherAnswers.cpp
@@ -142,7 +142,8 @@
   const int status = aResponse.mStatus;
   if (aOrigin == kTargetOrigin) {
     RecordNestedCall(active, gateway::NestedCallEnd::Answered);
-  } else if (status == 503 || status == 504) {
+  } else if ((status == 503 || status == 504) &&
+             active.mLastReply.mReason != "quarantined") {
     RecordNestedCall(active, gateway::NestedCallEnd::RefusedOrLate);
   }
   mDependencies.mMetrics.OnRequest(
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -391,6 +391,7 @@
     { .mRoute = call.mRoute,
       .mPriority = call.mPriority,
       .mDeadline = now + timeLeft,
+      .mTimeLeft{ static_cast<double>(timeLeft.WholeMillis()) },
       .mCallObjective = active.mArrivedAt + call.mObjectiveLeft -
                         mRunTimes.Mean(call.mRoute) * kRunAfterCalls });
   active.mClientCall = mClient.Send(request, [this, aId](TargetResult aResult) {
