Reject peer messages with excessive sizes without an exception

MalformedBytesDecodeToAMessageOrAnError failed once here: from_cbor() throws out_of_range.408 for an object or array size beyond memory, although it is told not to throw, and the exception left DecodeMessage(). Such a message ended the node. It is now parsed within DecodeOrError().

The new test threw before and passes now.

--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -511,7 +511,11 @@
 Expected<PeerMessage>
 DecodeMessage(const std::string& aBytes)
 {
-  return DecodeOrError(json::from_cbor(aBytes, true, false), MessageFromJson);
+  // Parsed within DecodeOrError() because from_cbor() throws for arrays and
+  // objects of excessive size, even if it is told not to throw.
+  return DecodeOrError(json(), [&](const json&) {
+    return MessageFromJson(json::from_cbor(aBytes, true, false));
+  });
 }
 
 std::string
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -123,6 +123,17 @@
   RC_ASSERT(decoded || !decoded.error().mMessage.empty());
 }
 
+// Guards against an exception that ends the node, which the parser throws for
+// an object or array with more entries than fit into memory.
+TEST(PeerMessages, ExcessiveSizesAreRejected)
+{
+  for (const char* const bytes : { "\xbb\x04\x07\x04\x04\x04\x04\x04\x21",
+                                   "\x9b\x7f\x07\x04\x04\x04\x04\x04\x21",
+                                   "\x82\xbb\x7f\x07\x04\x04\x04\x04\x04" }) {
+    EXPECT_FALSE(DecodeMessage(bytes));
+  }
+}
+
 // Guards against records of another writer whose addresses, numbers or nesting
 // a node can't use, among the records that nodes read from the store.
 TEST(PeerMessages, RecordsOutOfRangeAreRejected)
