Bound the rate that a node tells for its target

A rate above 2 million a second, possible with many slots and a run time of a millisecond, would not fit into the integer of the load message.

--- a/libs/sidecar/src/LocalTargetProxyPace.cpp
+++ b/libs/sidecar/src/LocalTargetProxyPace.cpp
@@ -13,6 +13,9 @@
 
 /** The longest time for which a target may say that it is cold. */
 constexpr Millis kMaxColdTime = Seconds(3600);
+/** The highest rate that is told, in requests a second. No target runs as many,
+ *  and messages have room for it. */
+constexpr double kMaxRate = 100'000;
 /** A process older than this carries its share already when this node first
  *  hears of it, for example after a restart of the node. */
 constexpr Millis kStartingAge = Seconds(10);
@@ -143,7 +146,11 @@
 {
   const auto cold = mColdLimiter.AdvisedRate(SteadyNow());
   const auto pace = mPace.Rate();
-  return cold && pace ? std::min(*cold, *pace) : (cold ? cold : pace);
+  if (!cold && !pace) {
+    return std::nullopt;
+  }
+  return std::min(
+    { cold.value_or(kMaxRate), pace.value_or(kMaxRate), kMaxRate });
 }
 
 } // namespace papayaway::sidecar
