Do not ramp targets of a service that begins to get requests

Targets that had been idle for 5 s were ramped although the whole service had been idle, one failure of three responses lowered the rate, and a run of 5 mean run times counted as silence although one in a hundred takes 7 times the mean.

Change: the peers must have worked for the idle time too, a bad interval has at least 3 failures, and a request is overdue after 15 mean run times.

--- a/libs/gateway/include/gateway/TargetPace.h
+++ b/libs/gateway/include/gateway/TargetPace.h
@@ -185,6 +185,8 @@
   double mFailureRate = 0;
   int mGoodTrials = 0;
   Millis mLastSent;
+  /** When the peers last had few requests. */
+  Millis mPeersIdleAt;
   Millis mLastAnswer;
   double mTokens = 0;
   Millis mTokensAt;
--- a/libs/gateway/src/TargetPace.cpp
+++ b/libs/gateway/src/TargetPace.cpp
@@ -21,8 +21,12 @@
 constexpr Millis kBurst{ 500 };
 /** At least this many may come at once. */
 constexpr double kMinBurst = 2;
-/** An open request is overdue after this many mean run times. */
-constexpr double kOverdueRuns = 5;
+/** An open request is overdue after this many mean run times. The slowest of a
+ *  hundred runs takes 7 times the mean, and 2.5 times that in a slow period. */
+constexpr double kOverdueRuns = 15;
+/** The least failures that make an interval bad. With few responses, one
+ *  failure is a large fraction of them. */
+constexpr int kMinFailures = 3;
 /** Above this utilization of the peers, callers would wait for a ramp. */
 constexpr double kBusy = 0.85;
 /** The fraction of its capacity at which a ramp starts if callers would
@@ -158,8 +162,15 @@
     }
     return;
   }
+  const bool peersWork =
+    mPeers.mUnlimited > 0 && mPeers.mEvenShare >= mOptions.mMinRate;
+  if (!peersWork) {
+    mPeersIdleAt = aNow;
+  }
+  // If the peers were idle too, the whole service has had no requests, and the
+  // target is no different from them.
   if (mState == State::Unlimited && aNow - mLastSent >= mOptions.mIdle &&
-      mPeers.mUnlimited > 0 && mPeers.mEvenShare >= mOptions.mMinRate) {
+      aNow - mPeersIdleAt >= mOptions.mIdle) {
     Start(aNow);
   }
   if (mState == State::Ramping) {
@@ -186,8 +197,9 @@
   mBestRatio = std::min(mBestRatio, ratio);
   const bool used = responses >= mRate * (length / Seconds(1)) * kMinUse;
   const Millis started = mInterval.mStarted;
+  const int failures = mInterval.mFailures;
   mInterval = { .mStarted = aNow };
-  if (excess > mOptions.mFailureExcess) {
+  if (excess > mOptions.mFailureExcess && failures >= kMinFailures) {
     mRate *= mOptions.mDecrease;
   } else if (slow) {
     mSlowSince = mSlowSince.value_or(started);
