Follow the store from other nodes if it refuses all link nodes

Cause: only the three link nodes of a data centre follow the store while one of them is alive. A restarted node that can't read the nodes' table also reported that it was idle, not that it fails, so the others did not replace it.

Change: if there are tenants and the link nodes of a data centre fail, its other nodes become candidates of the follower election, which lets the first two try and then the rest in rotation. A node that has not read the nodes' table and gets no answer reports that it fails.

--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -136,6 +136,9 @@
   void WriteProgress(const gateway::RolloutProgress& aProgress,
                      const std::string& aStatus);
 
+  /** @return whether the store answered the last call. */
+  [[nodiscard]] bool StoreAvailable() const { return mStoreAvailable; }
+
   /** @return whether the nodes' table has been read at least once. */
   [[nodiscard]] bool NodesRead() const { return mNodesRead; }
 
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -168,6 +168,12 @@
    *  @param aSource where it came from, for the log.
    *  @return whether it was put in force. */
   bool ApplyState(const std::string& aText, const char* aSource);
+  [[nodiscard]] bool HasTenants() const;
+  /** @return the follow state that this node reports. */
+  [[nodiscard]] gateway::FollowState OwnFollowState() const;
+  /** @return whether other nodes of the data centre must follow the store
+   *    because it answers none of the link nodes, which usually do. */
+  [[nodiscard]] bool LinkNodesFail(Millis aNow) const;
   /** @return the version of the desired state in force, or 0. */
   [[nodiscard]] std::uint64_t StateVersion() const;
   /** @return whether this node refuses tenants until it has the newest version
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -248,7 +248,7 @@
   for (const std::string& dataCentre : mTopology.OtherDataCentres(false)) {
     SendToLinkNodes(dataCentre, message);
   }
-  if (mRoutingTable && mRoutingTable->Tenants()->IsActive()) {
+  if (HasTenants()) {
     // A region of which no node reaches the store would notice the change only
     // from load messages, which takes more than the 3 s that keys may take.
     for (const std::string& dataCentre : mTopology.OtherDataCentres(true)) {
@@ -355,7 +355,14 @@
     return;
   }
   UpdateLinks();
+  const bool linkNodesFail = LinkNodesFail(aNow);
+  const std::vector<std::string>& linkNodes =
+    mTopology.LinkNodes(mSettings.mDataCentre);
   const auto isAlive = [&](const std::string& aNode) {
+    if (linkNodesFail && std::find(linkNodes.begin(), linkNodes.end(), aNode) !=
+                           linkNodes.end()) {
+      return false;
+    }
     return aNode == mSettings.mName || mMesh.Reachable(aNode, aNow) ||
            age < kNodesTableGrace;
   };
--- a/libs/sidecar/src/SidecarTenants.cpp
+++ b/libs/sidecar/src/SidecarTenants.cpp
@@ -21,11 +21,46 @@
   return mRoutingTable ? mRoutingTable->State().mVersion : 0;
 }
 
+bool
+Sidecar::Impl::HasTenants() const
+{
+  return mRoutingTable && mRoutingTable->Tenants()->IsActive();
+}
+
+gateway::FollowState
+Sidecar::Impl::OwnFollowState() const
+{
+  // A node that has not read the nodes' table does not follow, so others would
+  // take it for one that will.
+  return HasTenants() && !mSync.NodesRead() && !mSync.StoreAvailable()
+           ? gateway::FollowState::Failing
+           : mSync.FollowingState();
+}
+
+bool
+Sidecar::Impl::LinkNodesFail(Millis aNow) const
+{
+  if (!HasTenants() || mTopology.IsLinkNode()) {
+    return false;
+  }
+  bool failing = false;
+  for (const std::string& node : mTopology.LinkNodes(mSettings.mDataCentre)) {
+    const auto state = mFollowStates.find(node);
+    if (state == mFollowStates.end() || !mMesh.Reachable(node, aNow)) {
+      continue;
+    }
+    if (state->second == gateway::FollowState::Working) {
+      return false;
+    }
+    failing = failing || state->second == gateway::FollowState::Failing;
+  }
+  return failing;
+}
+
 bool
 Sidecar::Impl::MustCatchUp() const
 {
-  return mRoutingTable && mRoutingTable->Tenants()->IsActive() &&
-         mFreshness.IsStarting();
+  return HasTenants() && mFreshness.IsStarting();
 }
 
 void
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -33,7 +33,7 @@
 {
   return { .mLoad = mLocalTarget.Load(),
            .mStateVersion = StateVersion(),
-           .mFollowState = mSync.FollowingState(),
+           .mFollowState = OwnFollowState(),
            .mConfirmedAgo = mSettings.mStrictRevocation
                               ? mFreshness.ConfirmedAgo(BootNow())
                               : std::nullopt };
