--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -178,6 +178,12 @@
   bool ApplyState(const std::string& aText, const char* aSource);
   /** Passes the rules of the services on to those that apply them. */
   void ApplyServiceRules(const gateway::DesiredState& aState);
+  [[nodiscard]] bool HasTenants() const;
+  /** @return the follow state that this node reports. */
+  [[nodiscard]] gateway::FollowState OwnFollowState() const;
+  /** @return whether other nodes of the data centre must follow the store
+   *    because it answers none of the link nodes, which usually do. */
+  [[nodiscard]] bool LinkNodesFail(Millis aNow) const;
   /** @return the version of the desired state in force, or 0. */
   [[nodiscard]] std::uint64_t StateVersion() const;
   /** @return whether this node refuses tenants until it has the newest version
