Hold retries until the tenant's usage cap allows one more run

A retry of a request that may have run was denied if the node had no token in stock, which is common for tenants with few requests. It now waits for a token like a first attempt.

--- a/libs/gateway/include/gateway/CapNode.h
+++ b/libs/gateway/include/gateway/CapNode.h
@@ -85,9 +85,6 @@
                     Millis aHoldUntil,
                     Millis aNow);
 
-  /** Takes a token for a further attempt of an admitted request. */
-  bool TryTake(const std::string& aTenant, Millis aNow);
-
   /** Returns the token of a request that did not run. */
   void Credit(const std::string& aTenant, Millis aTokenExpiry, Millis aNow);
 
--- a/libs/gateway/include/gateway/UsageCap.h
+++ b/libs/gateway/include/gateway/UsageCap.h
@@ -60,10 +60,6 @@
                     Millis aHoldUntil,
                     Millis aNow);
 
-  /** Takes a token for a further attempt of an admitted request.
-   *  @return whether there was one, or the tenant has no cap. */
-  bool TryTake(const std::string& aTenant, Millis aNow);
-
   /** Returns the token of a request that did not run.
    *  @param aTokenExpiry the expiry from the decision. */
   void Credit(const std::string& aTenant, Millis aTokenExpiry, Millis aNow);
--- a/libs/gateway/src/CapNode.cpp
+++ b/libs/gateway/src/CapNode.cpp
@@ -78,12 +78,6 @@
   return decision;
 }
 
-bool
-CapNode::TryTake(const std::string& aTenant, Millis aNow)
-{
-  return mCap.TryTake(aTenant, aNow);
-}
-
 void
 CapNode::Credit(const std::string& aTenant, Millis aTokenExpiry, Millis aNow)
 {
--- a/libs/gateway/src/UsageCap.cpp
+++ b/libs/gateway/src/UsageCap.cpp
@@ -135,13 +135,6 @@
   return { .mOutcome = CapOutcome::Held };
 }
 
-bool
-UsageCap::TryTake(const std::string& aTenant, Millis aNow)
-{
-  const auto found = mTenants.find(aTenant);
-  return found == mTenants.end() || Take(found->second, aNow).mCount > 0;
-}
-
 void
 UsageCap::Credit(const std::string& aTenant, Millis aTokenExpiry, Millis aNow)
 {
--- a/libs/gateway/tests/UsageCapTest.cpp
+++ b/libs/gateway/tests/UsageCapTest.cpp
@@ -27,6 +27,15 @@
            .mAllowedRegions = {} };
 }
 
+/** @return whether a request that can't be held is admitted by a UsageCap or a
+ *    CapNode. */
+template<typename Cap>
+bool
+TakesToken(Cap& aCap, const std::string& aTenant, Millis aNow)
+{
+  return aCap.Admit(aTenant, 99, aNow, aNow).mOutcome == CapOutcome::Admitted;
+}
+
 // Guards against tokens that are counted twice, outlive their expiry or are
 // issued by two coordinators. Load: a tenant that sends nothing for 4 s and
 // then 4 times its cap for 8 s, on all nodes, while messages are lost, repeated
@@ -231,9 +240,9 @@
   ASSERT_EQ(releases.size(), 1U);
   EXPECT_EQ(releases[0].mDecision.mTokenExpiry, Millis{ 500 });
   cap.Credit("t", Millis{ 500 }, Millis{ 100 });
-  EXPECT_TRUE(cap.TryTake("t", Millis{ 499 }));
+  EXPECT_TRUE(TakesToken(cap, "t", Millis{ 499 }));
   cap.Credit("t", Millis{ 500 }, Millis{ 499 });
-  EXPECT_FALSE(cap.TryTake("t", Millis{ 500 }));
+  EXPECT_FALSE(TakesToken(cap, "t", Millis{ 500 }));
 }
 
 // Guards against a repeated or outdated answer that adds tokens, and against
@@ -265,8 +274,8 @@
     const auto releases = node.TakeReleases(Millis{ 210 });
     ASSERT_EQ(releases.size(), 1U);
     EXPECT_EQ(releases[0].mDecision.mTokenExpiry, Millis{ 250 });
-    EXPECT_TRUE(node.TryTake(tenant.mName, Millis{ 220 }));
-    EXPECT_FALSE(node.TryTake(tenant.mName, Millis{ 230 }));
+    EXPECT_TRUE(TakesToken(node, tenant.mName, Millis{ 220 }));
+    EXPECT_FALSE(TakesToken(node, tenant.mName, Millis{ 230 }));
   }
   EXPECT_NE(requests[0], requests[1])
     << "an answer to the earlier process would be accepted";
--- a/libs/sidecar/include/sidecar/CapAgent.h
+++ b/libs/sidecar/include/sidecar/CapAgent.h
@@ -53,10 +53,6 @@
    *    longer held. It is also called if the request has ended meanwhile. */
   void Admit(const std::string& aTenant, Millis aMaxHold, Decided aDecided);
 
-  /** Takes a token for a further attempt of an admitted request.
-   *  @return whether there was one, or the tenant has no cap. */
-  bool TryTake(const std::string& aTenant);
-
   /** Returns the token of a request that did not run.
    *  @param aTokenExpiry the expiry from the decision. */
   void Credit(const std::string& aTenant, Millis aTokenExpiry);
--- a/libs/sidecar/include/sidecar/Dispatcher.h
+++ b/libs/sidecar/include/sidecar/Dispatcher.h
@@ -178,6 +178,9 @@
   /** Dispatches the request once its tenant's usage cap allows it, or refuses
    *  it. */
   void AdmitAndDispatch(std::uint64_t aId);
+  /** Dispatches a request again that may have run, once its tenant's usage cap
+   *  allows one more run; otherwise answers with the outcome so far. */
+  void AdmitAndRetry(std::uint64_t aId);
   /** Chooses a target for the next attempt and sends the request, or answers
    *  the caller if no target can run it in time. */
   void Dispatch(std::uint64_t aId);
--- a/libs/sidecar/src/CapAgent.cpp
+++ b/libs/sidecar/src/CapAgent.cpp
@@ -56,12 +56,6 @@
   Process();
 }
 
-bool
-CapAgent::TryTake(const std::string& aTenant)
-{
-  return aTenant.empty() || mNode.TryTake(aTenant, BootNow());
-}
-
 void
 CapAgent::Credit(const std::string& aTenant, Millis aTokenExpiry)
 {
--- a/libs/sidecar/src/Dispatcher.cpp
+++ b/libs/sidecar/src/Dispatcher.cpp
@@ -270,8 +270,7 @@
     return false;
   }
   const bool allowed =
-    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow()) &&
-    (notRun || mDependencies.mCaps.TryTake(aActive.mTenant));
+    mBudget.TryRetry(aActive.mService, aActive.mRule->mPriority, SteadyNow());
   (allowed ? mDependencies.mMetrics.mRetries
            : mDependencies.mMetrics.mRetriesDenied)
     .Increment();
@@ -329,7 +328,7 @@
       return;
     }
   } else if (MayRetry(active, active.mLastReply)) {
-    Dispatch(aId);
+    notRun ? Dispatch(aId) : AdmitAndRetry(aId);
     return;
   }
   AnswerFromLastReply(aId);
--- a/libs/sidecar/src/DispatcherCaps.cpp
+++ b/libs/sidecar/src/DispatcherCaps.cpp
@@ -58,4 +58,36 @@
     });
 }
 
+void
+Dispatcher::AdmitAndRetry(std::uint64_t aId)
+{
+  ActiveRequest& active = mActiveRequests.at(aId);
+  if (active.mTenant.empty()) {
+    Dispatch(aId);
+    return;
+  }
+  const std::string tenant = active.mTenant;
+  // Nothing that still arrives about the last attempt applies to the next one.
+  active.mNode.clear();
+  active.mLink = 0;
+  active.mIsLocal = false;
+  active.mWaitsForToken = true;
+  mDependencies.mCaps.Admit(
+    tenant,
+    (active.mDeadline - SteadyNow()) * kHoldFraction,
+    [this, aId, tenant](const gateway::CapDecision& aDecision) {
+      const auto found = mActiveRequests.find(aId);
+      if (found == mActiveRequests.end()) {
+        mDependencies.mCaps.Credit(tenant, aDecision.mTokenExpiry);
+        return;
+      }
+      found->second.mWaitsForToken = false;
+      if (aDecision.mOutcome == gateway::CapOutcome::Refused) {
+        AnswerFromLastReply(aId);
+      } else {
+        Dispatch(aId);
+      }
+    });
+}
+
 } // namespace papayaway::sidecar
