Reject messages with an excessive array size instead of throwing

The CBOR parser throws for such an array although it is called without exceptions, so one corrupt message of a peer ended the process.

--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -525,7 +525,13 @@
 Expected<PeerMessage>
 DecodeMessage(const std::string& aBytes)
 {
-  return DecodeOrError(json::from_cbor(aBytes, true, false), MessageFromJson);
+  // The parser throws for an array of excessive size although it is called
+  // without exceptions.
+  try {
+    return DecodeOrError(json::from_cbor(aBytes, true, false), MessageFromJson);
+  } catch (const json::exception& error) {
+    return Fail(ErrorCode::Invalid, error.what());
+  }
 }
 
 std::string
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -145,6 +145,13 @@
   RC_ASSERT(decoded || !decoded.error().mMessage.empty());
 }
 
+// Guards against an array size beyond the memory, for which the CBOR parser
+// throws in any mode.
+TEST(PeerMessages, ExcessiveArraySizeIsAnError)
+{
+  EXPECT_FALSE(DecodeMessage("\x9b\x08\x07\x62\x9b\x01\x02\x03\x04\x05"));
+}
+
 // Guards against records of another writer whose addresses, numbers or nesting
 // a node can't use, among the records that nodes read from the store.
 TEST(PeerMessages, RecordsOutOfRangeAreRejected)
