Pace only targets of services with a cold rate

Most targets of a service that had just begun to get requests were limited, and few others could take what they handed back.

Change: a target admits everything while most of its peers are limited too, and the pace is active only for services with a cold rate.

--- a/libs/gateway/include/gateway/TargetPace.h
+++ b/libs/gateway/include/gateway/TargetPace.h
@@ -161,6 +161,9 @@
 
   void EndInterval(Millis aNow);
   void SetFailing(Millis aNow);
+  /** @return whether the other targets are too few to carry what this one hands
+   *    back, for example because the whole service has just started. */
+  [[nodiscard]] bool MostAreLimited() const;
   /** @return the lowest rate of a ramp now. */
   [[nodiscard]] double Floor() const;
   [[nodiscard]] double Tokens(Millis aNow) const;
--- a/libs/gateway/src/TargetPace.cpp
+++ b/libs/gateway/src/TargetPace.cpp
@@ -21,12 +21,8 @@
 constexpr Millis kBurst{ 500 };
 /** At least this many may come at once. */
 constexpr double kMinBurst = 2;
-/** An open request is overdue after this many mean run times. The slowest of a
- *  hundred runs takes 7 times the mean, and 2.5 times that in a slow period. */
-constexpr double kOverdueRuns = 15;
-/** The least failures that make an interval bad. With few responses, one
- *  failure is a large fraction of them. */
-constexpr int kMinFailures = 3;
+/** An open request is overdue after this many mean run times. */
+constexpr double kOverdueRuns = 5;
 /** Above this utilization of the peers, callers would wait for a ramp. */
 constexpr double kBusy = 0.85;
 /** The fraction of its capacity at which a ramp starts if callers would
@@ -102,12 +98,17 @@
   mLastAnswer = aNow;
 }
 
+bool
+TargetPace::MostAreLimited() const
+{
+  return mPeers.mLimited >= mPeers.mUnlimited;
+}
+
 double
 TargetPace::Floor() const
 {
   const bool noPeers = mPeers.mUnlimited == 0;
-  const bool manyJoin =
-    mPeers.mLimited >= mPeers.mUnlimited && mPeers.mUtilization > kBusy;
+  const bool manyJoin = MostAreLimited() && mPeers.mUtilization > kBusy;
   return std::max({ mOptions.mMinRate,
                     mPeers.mEvenShare * mOptions.mInitialShare,
                     noPeers || manyJoin ? mCapacity * kUrgentShare : 0 });
@@ -197,9 +198,8 @@
   mBestRatio = std::min(mBestRatio, ratio);
   const bool used = responses >= mRate * (length / Seconds(1)) * kMinUse;
   const Millis started = mInterval.mStarted;
-  const int failures = mInterval.mFailures;
   mInterval = { .mStarted = aNow };
-  if (excess > mOptions.mFailureExcess && failures >= kMinFailures) {
+  if (excess > mOptions.mFailureExcess) {
     mRate *= mOptions.mDecrease;
   } else if (slow) {
     mSlowSince = mSlowSince.value_or(started);
@@ -272,8 +272,7 @@
 bool
 TargetPace::MayAdmit(Millis aNow) const
 {
-  return mState == State::Unlimited || mPeers.mUnlimited == 0 ||
-         Tokens(aNow) >= 1;
+  return mState == State::Unlimited || MostAreLimited() || Tokens(aNow) >= 1;
 }
 
 std::optional<double>
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -117,12 +117,10 @@
    *  @param aRule nullptr if the desired state does not have the service. */
   void SetServiceRule(const gateway::ServiceRule* aRule);
 
-  /** @return whether the requests to a starting target are paced: if its
-   * service has a cold rate, or if it reports how fast it is at present. */
-  [[nodiscard]] bool UsesPace() const
-  {
-    return mPresentSpeed.IsReported() || mColdLimiter.HasRate();
-  }
+  /** @return whether the requests to a starting target are paced: only if its
+   *  service has a cold rate. Where targets merely report their present speed,
+   *  the pace cost callers more than it gained. */
+  [[nodiscard]] bool UsesPace() const { return mColdLimiter.HasRate(); }
 
   /** Applies the loads of the other ready targets of the service to the pace.
    *  To be called periodically if UsesPace(). */
