Add a setting that paces starting targets without a cold rate

Cause: the pace of targets that report their present speed cost callers more than it gained and was taken out of use, but its test and its operators need it.

Change: [limits] pace_reported_speed, false by default, switches it on.

--- a/libs/config/src/SidecarSettings.cpp
+++ b/libs/config/src/SidecarSettings.cpp
@@ -93,6 +93,7 @@
     { { "limits", "repeat_share" }, NumberUpTo(&S::mMaxRetryFraction, 1) },
     { { "limits", "cold_factor" }, NumberUpTo(&S::mColdFactor, 100) },
     { { "limits", "cold_slack" }, NumberUpTo(&S::mColdSlack, 100'000) },
+    { { "limits", "pace_reported_speed" }, Boolean(&S::mPaceReportedSpeed) },
     { { "limits", "evacuation_ms" },
       Duration(&S::mEvacuationLimit, 0, 600'000) },
     { { "limits", "quota_window_ms" },
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -81,6 +81,9 @@
   /** The service that the local target must serve. */
   std::string mService;
   gateway::ColdRateOptions mColdRate;
+  /** Whether targets that report their present speed are paced although their
+   *  service has no cold rate. */
+  bool mPaceReportedSpeed = false;
 };
 
 /**
@@ -117,10 +120,14 @@
    *  @param aRule nullptr if the desired state does not have the service. */
   void SetServiceRule(const gateway::ServiceRule* aRule);
 
-  /** @return whether the requests to a starting target are paced: only if its
-   *  service has a cold rate. Where targets merely report their present speed,
-   *  the pace cost callers more than it gained. */
-  [[nodiscard]] bool UsesPace() const { return mColdLimiter.HasRate(); }
+  /** @return whether the requests to a starting target are paced: if its
+   *  service has a cold rate or, where the settings ask for it, if it reports
+   *  how fast it is at present. */
+  [[nodiscard]] bool UsesPace() const
+  {
+    return mColdLimiter.HasRate() ||
+           (mOptions.mPaceReportedSpeed && mPresentSpeed.IsReported());
+  }
 
   /** Applies the loads of the other ready targets of the service to the pace.
    *  To be called periodically if UsesPace(). */
--- a/libs/sidecar/src/LocalTargetProxyLoad.cpp
+++ b/libs/sidecar/src/LocalTargetProxyLoad.cpp
@@ -25,7 +25,11 @@
 {
   const Millis now = SteadyNow();
   if (aReport.mSlowdown) {
+    const bool isFirst = !mPresentSpeed.IsReported();
     mPresentSpeed.OnReport(*aReport.mSlowdown, now);
+    if (isFirst) {
+      DecidePace();
+    }
   }
   const auto expected = std::count_if(
     mActiveCalls.begin(), mActiveCalls.end(), [&](const auto& aEntry) {
