--- a/libs/config/include/config/SidecarSettings.h
+++ b/libs/config/include/config/SidecarSettings.h
@@ -53,8 +53,8 @@
    *  plus mColdSlack requests. */
   double mColdFactor = 1.5;
   double mColdSlack = 8;
-  /** Whether starting targets that report their present speed are paced although
-   *  their service has no cold rate. */
+  /** Whether starting targets that report their present speed are paced
+   * although their service has no cold rate. */
   bool mPaceReportedSpeed = false;
   /** How long after the order to evacuate a data centre its targets may still
    *  get requests. */
