--- a/libs/gateway/include/gateway/CapNode.h
+++ b/libs/gateway/include/gateway/CapNode.h
@@ -64,7 +64,7 @@
  * request tokens from their relay, and relays from the coordinator. The node
  * from which the last round came is the relay. Any node may act as a
  * coordinator at any time: it can only issue what was lent to it. So the caps
- * hold whatever nodes believe about each other.
+ * hold whatever view nodes have of each other.
  */
 class CapNode
 {
--- a/libs/gateway/include/gateway/RetryAfter.h
+++ b/libs/gateway/include/gateway/RetryAfter.h
@@ -27,7 +27,7 @@
 };
 
 /**
- * Tells refused callers when a target will have a free slot for them.
+ * Estimates when a target will have free slots for the callers that it refuses.
  *
  * It measures how many requests a second the target serves, and promises a part
  * of that rate to refused callers one after the other, so that they don't all
--- a/libs/sidecar/src/LocalTargetProxyPace.cpp
+++ b/libs/sidecar/src/LocalTargetProxyPace.cpp
@@ -17,7 +17,7 @@
  *  and messages have room for it. */
 constexpr double kMaxRate = 100'000;
 /** A process older than this carries its share already when this node first
- *  hears of it, for example after a restart of the node. */
+ *  receives its check-in, for example after a restart of the node. */
 constexpr Millis kStartingAge = Seconds(10);
 /** A request that started later than this after its arrival waited for a slot;
  *  others start in the same iteration of the loop. */
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -230,7 +230,7 @@
                                           Millis aNow);
   void OnDataCentreLoads(const std::string& aFrom,
                          const DataCentreLoadsMessage& aMessage);
-  /** Applies evacuations that were read from the store, and tells other nodes
+  /** Applies evacuations that were read from the store, and informs other nodes
    *  when they have changed. */
   void OnOperatorRowsRead(const RowList& aList, bool aWholeTable);
   /** Applies the evacuations of another node if they are later. */
