Pass limits that only some installations have by an environment variable

Change: the lines are in the environment of the role, and the program reads them as further lines of [limits]. The test looks for each key in both files.

--- a/libs/config/tests/SidecarSettingsTest.cpp
+++ b/libs/config/tests/SidecarSettingsTest.cpp
@@ -57,7 +57,9 @@
 {
   const std::string page = ReadFile("docs/settings.md");
   const std::string sample = ReadFile("samples/sidecar.ini");
-  const std::string settingsTemplate = ReadFile("deploy/sidecar.ini");
+  // Limits that only some installations have are in an environment variable.
+  const std::string settingsTemplate =
+    ReadFile("deploy/sidecar.ini") + ReadFile("deploy/system.toml");
   for (const SettingsKey& key : KnownSidecarSettingsKeys()) {
     const std::string row = "| `[" + key.mSection + "] " + key.mName + "` | " +
                             (key.mRequired ? "yes" : "no") + " |";
--- a/tools/papayaway-sidecar/Main.cpp
+++ b/tools/papayaway-sidecar/Main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -17,6 +18,9 @@
 using namespace papayaway;
 
 constexpr int kExitFailed = 1;
+/** Further lines of the section [limits], for limits that only some
+ *  installations have. */
+constexpr const char* kLimitsVariable = "PAPAYAWAY_SIDECAR_LIMITS";
 
 constexpr DaemonProgram kProgram{
   .mName = "papayaway-sidecar",
@@ -28,10 +32,13 @@
 std::optional<SidecarSettings>
 ReadSettings(const std::string& aPath)
 {
-  const auto text = ReadSettingsFile(aPath, kProgram);
+  auto text = ReadSettingsFile(aPath, kProgram);
   if (!text) {
     return std::nullopt;
   }
+  if (const char* const limits = std::getenv(kLimitsVariable)) {
+    *text += std::string("\n[limits]\n") + limits;
+  }
   auto settings = ParseSidecarSettings(*text, aPath);
   if (!settings) {
     std::cerr << ToString(settings.error());
