Show a change that is late where both readers of a region are cut off

Cause: a reading call at a silent store is given up after up to 3 s, and no other node reads meanwhile.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes targets returns after all sidecars were killed."""
+"""The two readers of a region are cut off from the store before a change."""
 
 import asyncio
 import os
@@ -9,129 +9,103 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import harness2 as h  # noqa: E402
 
-SERVICE = "ledger"
-POISON = "/orders/crash"
-BACK_AFTER_S = 2.0  # "The endpoint is back after some seconds."
-PAUSE_S = 2.5  # Between two retries of the request.
-RESTART_S = 1.0  # The platform restarts a killed process.
-PARTS = 3  # Of the run; all sidecars are killed after each but the last.
-RETRIES = 5  # Of the request in each part.
-RATE = 90  # Other requests a second.
-WORK_S = 0.5
-STABLE_S = h.BOUNDS["stable_ms"] / 1000
+OLD, NEW = "ledger", "hammer"
+CUT_S = 5.5  # As in the site's list of troubles.
+FIRST_TO_SECOND_S = 0.75  # Between two changes of the desired state.
+CUT_BEFORE_S = 0.1  # The cut comes this long before the second change.
+PROBE_S = 0.05
+APPLY_S = h.BOUNDS["config_apply_ms"] / 1000
 
 
-class FragileTarget(h.Target):
-    """A target that crashes when it begins to run the poison request."""
-
-    crashes = []  # When a target crashed, over all targets.
-    reached = []  # (request id, when it reached a target)
-
-    async def handle(self, method, target, fields, body):
-        if target == POISON and \
-                fields.get("x-target-instance", self.id) == self.id:
-            now = time.monotonic()
-            FragileTarget.reached.append((fields["x-request-id"], now))
-            FragileTarget.crashes.append(now)
-            asyncio.create_task(self._crash())
-            return None
-        return await super().handle(method, target, fields, body)
-
-    async def _crash(self):
-        self.stop()
-        await asyncio.sleep(BACK_AFTER_S)
-        # A new lifetime with a new id.
-        self.id = "i-" + os.urandom(5).hex()
-        self.born = int(time.time() * 1000)
-        self.sequence = self.running = 0
-        await self.start()
+def routes(service):
+    return [("/bids/", "safe", service, 1000)]
 
 
 async def play(fleet, trouble):
     await fleet.store.start()
-    fleet.write_state(1, [("/orders/", "unsafe", SERVICE, 1500),
-                          ("/lots/", "safe", SERVICE, 1200)], [SERVICE])
-    hosts = [fleet.add_host("ab"[i % 2], "west", SERVICE) for i in range(6)]
+    fleet.write_state(1, routes(OLD), [OLD, NEW])
+    hosts = [fleet.add_host("ab"[i % 2], "west", OLD if i < 4 else NEW)
+             for i in range(8)]
     for host in hosts:
+        host.store_link = h.HttpProxy(host.ip, fleet.store)
+        await host.store_link.start()
         host.start(first=True)
-    targets = [FragileTarget(host, SERVICE, "v1", work_s=WORK_S)
+    targets = [h.Target(host, host.service, "v1", work_s=0.02)
                for host in hosts]
     for target in targets:
         await target.start()
     await fleet.until_ready(hosts)
-    await asyncio.sleep(4)
-
-    state = {"open": True, "kill": -100.0, "count": 0}
-    answers = {}
-
-    async def calm():
-        """The other requests of the callers."""
-        count = 0
-        while state["open"]:
-            host = hosts[count % len(hosts)]
-            path = "/orders/1" if count % 2 == 0 else f"/lots/{count}"
-            method = "POST" if count % 2 == 0 else "GET"
-            asyncio.create_task(one(host, method, path, b"order %d" % count))
-            count += 1
-            await asyncio.sleep(1 / RATE)
-
-    async def one(host, method, path, body):
-        _, status, _, _ = await host.request(method, path, 2.5, body)
-        answers[status] = answers.get(status, 0) + 1
+    await asyncio.sleep(6)
 
-    retries = []  # (request id, when sent, whether in touch)
+    service_of = {}  # request id -> service that ran it
+    probes = []  # (when sent, host, request id, status)
+    state = {"open": True}
+    tasks = set()
 
-    async def poison():
-        host = hosts[state["count"] % len(hosts)]
-        state["count"] += 1
+    async def probe(host):
         sent = time.monotonic()
-        in_touch = sent - state["kill"] > RESTART_S + STABLE_S
-        request, status, _, data = await host.request(
-            "POST", POISON, 2.5, b"the same body")
-        retries.append((request, sent, in_touch))
-        hit = sum(r == request for r, _ in FragileTarget.reached)
-        fleet.note(f"poison request {request} sent to {host.name}: reached "
-                   f"{hit} targets, answer {status} {data[:40]!r}; "
-                   f"{len(FragileTarget.crashes)} crashes so far")
+        request, status, _, _ = await host.request("GET", "/bids/1", 1.0)
+        probes.append((sent, host, request, status))
 
-    async def kill_all():
-        for host in hosts:
-            host.kill()
-        state["kill"] = time.monotonic()
-        fleet.note("all sidecars were killed")
-        await asyncio.sleep(RESTART_S)
-        for host in hosts:
-            host.start()
-        await fleet.until_ready(hosts)
-        await asyncio.sleep(STABLE_S + 1)
-        fleet.note("all sidecars are back, ready and in touch")
-
-    background = asyncio.create_task(calm())
+    async def probe_all():
+        while state["open"]:
+            for host in hosts:
+                task = asyncio.create_task(probe(host))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            await asyncio.sleep(PROBE_S)
+
+    followers = [host for host in hosts if host.store_link.follows()]
+    fleet.note("machines that wait for changes at the store: "
+               + ", ".join(host.name for host in followers))
+    background = asyncio.create_task(probe_all())
     await asyncio.sleep(1)
-    for part in range(PARTS):
-        for _ in range(RETRIES):
-            await poison()
-            await asyncio.sleep(PAUSE_S)
-        if trouble and part + 1 < PARTS:
-            await kill_all()
-    state["open"] = False
-    await asyncio.gather(background)
+    fleet.write_state(5, routes(OLD) + [("/more/", "safe", OLD, 1000)],
+                      [OLD, NEW])
+    await asyncio.sleep(FIRST_TO_SECOND_S - CUT_BEFORE_S)
+    if trouble:
+        for host in followers[:2]:
+            host.store_link.cut = True
+        fleet.note("cut off from the store: "
+                   + ", ".join(host.name for host in followers[:2]))
+    cut = set(followers[:2]) if trouble else set()
+    await asyncio.sleep(CUT_BEFORE_S)
+    fleet.write_state(9, routes(NEW), [OLD, NEW])
+    acked = time.monotonic()
+    await asyncio.sleep(CUT_S - CUT_BEFORE_S)
+    for host in hosts:
+        host.store_link.heal()
+    fleet.note("all machines reach the store")
     await asyncio.sleep(1)
+    state["open"] = False
+    await background
+    await asyncio.gather(*tasks)
 
-    fleet.note(f"answers to other requests by status: {answers}")
-    if len(FragileTarget.crashes) < 3:
-        raise h.CannotRun("the poison request crashed fewer than 3 targets")
-    since = FragileTarget.crashes[2] + STABLE_S
-    fleet.note(f"third crash at {FragileTarget.crashes[2] - fleet.began:.1f} "
-               f"s; {len(FragileTarget.crashes)} crashes in all")
-    late = [request for request, sent, in_touch in retries
-            if sent > since and in_touch
-            and any(r == request for r, _ in FragileTarget.reached)]
-    fleet.note(f"{len(late)} retries sent by machines in touch more than "
-               "stable_ms after the third crash reached targets; 3 are allowed")
-    if len(late) > 3:
-        return (f"BUDGET: the poison request reached targets in {len(late)} "
-                "retries after its third crash")
+    for target in targets:
+        for _, request, _, ran in target.arrivals:
+            if ran:
+                service_of[request] = target.service
+    late = [(sent, host, request) for sent, host, request, _ in sorted(
+        probes, key=lambda p: p[0])
+        if sent > acked + APPLY_S and host not in cut
+        and service_of.get(request) == OLD]
+    for host in hosts:
+        new = [sent - acked for sent, at, request, _ in probes
+               if at is host and service_of.get(request) == NEW]
+        fleet.note(f"{host.name}: first request run by {NEW} was sent "
+                   f"{min(new, default=-1):.2f} s after the acknowledgement"
+                   + (" (cut off)" if host in cut else ""))
+    fleet.note(f"{len(late)} requests sent to machines with a path to the "
+               f"store later than config_apply_ms after the acknowledgement "
+               f"were run by {OLD}")
+    for sent, host, request in late[-3:]:
+        fleet.note(f"  request {request} sent to {host.name} "
+                   f"{sent - acked:.2f} s after the acknowledgement")
+    if len(followers) < 2:
+        raise h.CannotRun("fewer than two machines follow the store")
+    if late:
+        return (f"CONFIG: {len(late)} requests were run by the old service "
+                "more than config_apply_ms after the acknowledgement")
     return ""
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,7 @@
-"""A target leaves while the store is down, and its sidecar is killed."""
+"""A request that crashes targets returns after all sidecars were killed."""
 
 import asyncio
 import os
-import signal
 import sys
 import time
 
@@ -11,107 +10,128 @@
 import harness2 as h  # noqa: E402
 
 SERVICE = "ledger"
-RATE = 60
-DOWN_S = 4.5  # As in the site's list of troubles.
+POISON = "/orders/crash"
+BACK_AFTER_S = 2.0  # "The endpoint is back after some seconds."
+PAUSE_S = 2.5  # Between two retries of the request.
 RESTART_S = 1.0  # The platform restarts a killed process.
-BEAT_DELAY_S = 2.5  # "A check-in may arrive seconds late."
-SERVES_ON_S = 14.0  # "It continues serving ... (at times many seconds)."
+PARTS = 3  # Of the run; all sidecars are killed after each but the last.
+RETRIES = 5  # Of the request in each part.
+RATE = 90  # Other requests a second.
+WORK_S = 0.5
 STABLE_S = h.BOUNDS["stable_ms"] / 1000
-DRAIN_S = h.BOUNDS["drain_ms"] / 1000
+
+
+class FragileTarget(h.Target):
+    """A target that crashes when it begins to run the poison request."""
+
+    crashes = []  # When a target crashed, over all targets.
+    reached = []  # (request id, when it reached a target)
+
+    async def handle(self, method, target, fields, body):
+        if target == POISON and \
+                fields.get("x-target-instance", self.id) == self.id:
+            now = time.monotonic()
+            FragileTarget.reached.append((fields["x-request-id"], now))
+            FragileTarget.crashes.append(now)
+            asyncio.create_task(self._crash())
+            return None
+        return await super().handle(method, target, fields, body)
+
+    async def _crash(self):
+        self.stop()
+        await asyncio.sleep(BACK_AFTER_S)
+        # A new lifetime with a new id.
+        self.id = "i-" + os.urandom(5).hex()
+        self.born = int(time.time() * 1000)
+        self.sequence = self.running = 0
+        await self.start()
 
 
 async def play(fleet, trouble):
     await fleet.store.start()
-    fleet.write_state(1, [("/lots/", "safe", SERVICE, 1200)], [SERVICE])
+    fleet.write_state(1, [("/orders/", "unsafe", SERVICE, 1500),
+                          ("/lots/", "safe", SERVICE, 1200)], [SERVICE])
     hosts = [fleet.add_host("ab"[i % 2], "west", SERVICE) for i in range(6)]
     for host in hosts:
         host.start(first=True)
-    targets = [h.Target(host, SERVICE, "v1") for host in hosts]
+    targets = [FragileTarget(host, SERVICE, "v1", work_s=WORK_S)
+               for host in hosts]
     for target in targets:
         await target.start()
     await fleet.until_ready(hosts)
-    await asyncio.sleep(8)
+    await asyncio.sleep(4)
 
-    state = {"open": True, "killed": -100.0, "store_back": -100.0}
+    state = {"open": True, "kill": -100.0, "count": 0}
     answers = {}
-    sent = {}  # request id -> when a caller sent it and at which host
-
-    async def one(host):
-        at = time.monotonic()
-        request, status, _, _ = await host.request("GET", "/lots/1", 2.5)
-        sent[request] = (at, host)
-        answers[status] = answers.get(status, 0) + 1
 
-    async def traffic():
+    async def calm():
+        """The other requests of the callers."""
         count = 0
         while state["open"]:
-            asyncio.create_task(one(hosts[count % len(hosts)]))
+            host = hosts[count % len(hosts)]
+            path = "/orders/1" if count % 2 == 0 else f"/lots/{count}"
+            method = "POST" if count % 2 == 0 else "GET"
+            asyncio.create_task(one(host, method, path, b"order %d" % count))
             count += 1
             await asyncio.sleep(1 / RATE)
 
-    async def late_beat(body):
-        await asyncio.sleep(BEAT_DELAY_S)
-        fleet.note(f"a check-in that {leaver.id} sent before it left arrives: "
-                   f"answer {await leaver.check_in(body)}")
-
-    background = asyncio.create_task(traffic())
-    await asyncio.sleep(2)
-    leaver = targets[0]
-    if trouble:
-        fleet.store.down = True
-        fleet.note("the store answers 503 to all calls")
-    down_at = time.monotonic()
-    await asyncio.sleep(0.5)
-    leaver.beats.cancel()
-    late = asyncio.create_task(late_beat(leaver.check_in_body()))
-    await asyncio.sleep(0.1)
-    status = await leaver.leave()
-    left = time.monotonic()
-    fleet.note(f"target {leaver.id} leaves with DELETE: answer {status}")
-    if status != 200:
-        raise h.CannotRun("the leave was not acknowledged")
-    if trouble:
-        await asyncio.sleep(0.3)
-        leaver.host.signal(signal.SIGKILL)
-        leaver.host.process.wait()
-        state["killed"] = time.monotonic()
-        fleet.note(f"{leaver.host.name} was killed")
+    async def one(host, method, path, body):
+        _, status, _, _ = await host.request(method, path, 2.5, body)
+        answers[status] = answers.get(status, 0) + 1
+
+    retries = []  # (request id, when sent, whether in touch)
+
+    async def poison():
+        host = hosts[state["count"] % len(hosts)]
+        state["count"] += 1
+        sent = time.monotonic()
+        in_touch = sent - state["kill"] > RESTART_S + STABLE_S
+        request, status, _, data = await host.request(
+            "POST", POISON, 2.5, b"the same body")
+        retries.append((request, sent, in_touch))
+        hit = sum(r == request for r, _ in FragileTarget.reached)
+        fleet.note(f"poison request {request} sent to {host.name}: reached "
+                   f"{hit} targets, answer {status} {data[:40]!r}; "
+                   f"{len(FragileTarget.crashes)} crashes so far")
+
+    async def kill_all():
+        for host in hosts:
+            host.kill()
+        state["kill"] = time.monotonic()
+        fleet.note("all sidecars were killed")
         await asyncio.sleep(RESTART_S)
-        leaver.host.start()
-        fleet.note(f"{leaver.host.name} was started again")
-        await asyncio.sleep(down_at + DOWN_S - time.monotonic())
-        fleet.store.down = False
-        state["store_back"] = time.monotonic()
-        fleet.note("the store answers again")
-    await late
-    await asyncio.sleep(left + SERVES_ON_S - time.monotonic())
-    leaver.stop()
-    fleet.note(f"target {leaver.id} has ended")
-    await asyncio.sleep(2)
+        for host in hosts:
+            host.start()
+        await fleet.until_ready(hosts)
+        await asyncio.sleep(STABLE_S + 1)
+        fleet.note("all sidecars are back, ready and in touch")
+
+    background = asyncio.create_task(calm())
+    await asyncio.sleep(1)
+    for part in range(PARTS):
+        for _ in range(RETRIES):
+            await poison()
+            await asyncio.sleep(PAUSE_S)
+        if trouble and part + 1 < PARTS:
+            await kill_all()
     state["open"] = False
     await asyncio.gather(background)
-    await asyncio.sleep(2)
-
-    fleet.note(f"answers by status: {answers}")
-    # Before this, the restarted machine or the core was not in touch.
-    in_touch = max(state["killed"] + RESTART_S + 0.1,
-                   state["store_back"]) + STABLE_S
-    reached = [(at, request) for at, request, _, _ in leaver.arrivals
-               if at > left + DRAIN_S]
-    counted = [(at, request) for at, request in reached
-               if request in sent and sent[request][0] > in_touch]
-    fleet.note(f"{len(reached)} requests reached {leaver.id} more than "
-               f"drain_ms after its leave was acknowledged, {len(counted)} of "
-               "them sent when all machines and the store had been "
-               "undisturbed for stable_ms")
-    for at, request in counted[:3]:
-        fleet.note(f"  request {request}, sent to {sent[request][1].name} at "
-                   f"{sent[request][0] - fleet.began:.3f} s, reached it at "
-                   f"{at - fleet.began:.3f} s, {at - left:.1f} s after the "
-                   "acknowledgement")
-    if counted:
-        return (f"DRAIN: {len(counted)} requests reached a target more than "
-                "drain_ms after its leave was acknowledged")
+    await asyncio.sleep(1)
+
+    fleet.note(f"answers to other requests by status: {answers}")
+    if len(FragileTarget.crashes) < 3:
+        raise h.CannotRun("the poison request crashed fewer than 3 targets")
+    since = FragileTarget.crashes[2] + STABLE_S
+    fleet.note(f"third crash at {FragileTarget.crashes[2] - fleet.began:.1f} "
+               f"s; {len(FragileTarget.crashes)} crashes in all")
+    late = [request for request, sent, in_touch in retries
+            if sent > since and in_touch
+            and any(r == request for r, _ in FragileTarget.reached)]
+    fleet.note(f"{len(late)} retries sent by machines in touch more than "
+               "stable_ms after the third crash reached targets; 3 are allowed")
+    if len(late) > 3:
+        return (f"BUDGET: the poison request reached targets in {len(late)} "
+                "retries after its third crash")
     return ""
 
 
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -265,6 +265,69 @@
         return self._reply(404)
 
 
+class HttpProxy:
+    """A path to the store that can be cut: then it is silent both ways."""
+
+    def __init__(self, ip, store):
+        self.ip, self.port, self.store = ip, free_port(ip), store
+        self.cut = False
+        self.server = None
+        self.connections = []  # [writer to the client, last request's path]
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.serve, self.ip, self.port)
+        HttpServer.started.append(self)
+
+    def stop(self):
+        self.server.close()
+        for writer, _ in self.connections:
+            writer.transport.abort()
+
+    def heal(self):
+        """Ends the cut. What was held up on open connections is lost."""
+        if self.cut:
+            self.cut = False
+            for writer, _ in self.connections:
+                writer.transport.abort()
+
+    def follows(self):
+        """Whether a call that waits for changes is open."""
+        return any(b"rows-feed" in last for writer, last in self.connections
+                   if not writer.transport.is_closing())
+
+    async def serve(self, reader, writer):
+        entry = [writer, b""]
+        self.connections.append(entry)
+        pumps = []
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                self.store.ip, self.store.port)
+
+            async def pump(source, sink, is_request):
+                while data := await source.read(65536):
+                    if is_request:
+                        entry[1] = data
+                    if not self.cut:
+                        sink.write(data)
+                        await sink.drain()
+
+            pumps = [asyncio.create_task(pump(reader, up_writer, True)),
+                     asyncio.create_task(pump(up_reader, writer, False))]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            up_writer.transport.abort()
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for task in pumps:
+                task.cancel()
+            self.connections.remove(entry)
+            try:
+                writer.transport.abort()
+            except RuntimeError:  # The run has ended.
+                pass
+
+
 # --- Targets --------------------------------------------------------------------
 
 
@@ -392,6 +455,7 @@
         self.ports = {name: free_port(self.ip) for name in
                       ("outbound", "admin", "readiness", "peer", "metrics")}
         self.target_port = free_port(self.ip)
+        self.store_link = fleet.store  # Or a path to the store.
         self.process = None
         self.starts = 0
         self.ends = 0  # How often the process ended although it had to run.
@@ -406,7 +470,7 @@
             "local_app": f"{self.ip}:{self.target_port}",
             "heartbeat_ms": HEARTBEAT_MS, "bounds": BOUNDS,
             "provider": {"address":
-                         f"{self.fleet.store.ip}:{self.fleet.store.port}"},
+                         f"{self.store_link.ip}:{self.store_link.port}"},
         }
         path = os.path.join(self.fleet.folder, self.name + ".ini")
         with open(path, "w") as file:
@@ -438,11 +502,11 @@
         return status == 200
 
     def memory_mb(self):
-        """The resident memory of the process, in MB."""
+        """The greatest resident memory of the process so far, in MB."""
         try:
             with open(f"/proc/{self.process.pid}/status") as status:
                 for line in status:
-                    if line.startswith("VmRSS:"):
+                    if line.startswith("VmHWM:"):
                         return int(line.split()[1]) / 1000
         except OSError:
             pass
