--- a/review/9/case.py
+++ b/review/9/case.py
@@ -31,6 +31,8 @@
         if target == POISON and \
                 fields.get("x-target-instance", self.id) == self.id:
             now = time.monotonic()
+            self.host.fleet.note_arrival(self, fields["x-request-id"],
+                                         "crashed a target")
             FragileTarget.reached.append((fields["x-request-id"], now))
             FragileTarget.crashes.append(now)
             asyncio.create_task(self._crash())
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -404,10 +404,13 @@
         echo = {"X-Request-Id": request}
         wanted = fields.get("x-target-instance", self.id)
         if wanted != self.id:
+            self.host.fleet.note_arrival(self, request, "421")
             return 421, {**echo, "X-Instance-Id": self.id}, b""
         if self.running >= self.slots:
+            self.host.fleet.note_arrival(self, request, "not executed")
             self.arrivals.append((now, request, path, False))
             return 503, {**echo, **self.load(), "X-Not-Executed": "1"}, b""
+        self.host.fleet.note_arrival(self, request, "ran")
         self.running += 1
         self.count += 1
         self.arrivals.append((now, request, path, True))
@@ -519,11 +522,15 @@
         Returns (request id, status or None, header fields, body or reason).
         """
         request = uuid.uuid4().hex[:16]
+        sent = self.fleet.now()
         status, fields, data = await call(
             self.ip, self.ports["outbound"], method, path,
             {"Host": hostname or self.fleet.hostname, "X-Request-Id": request,
              "X-Timeout-Ms": str(int(seconds * 1000))},
             body, timeout=timeout or seconds + 1)
+        self.fleet.requests.append(
+            (sent, f"{self.name} {method} {path} {len(body)} bytes",
+             self.fleet.now(), status or data, request))
         return request, status, fields, data
 
 
@@ -536,6 +543,8 @@
         self.folder = tempfile.mkdtemp(prefix="papayaway-review-")
         self.record_path = os.path.join(case_folder, "record.txt")
         self.lines = []
+        self.requests = []  # What callers sent and were answered.
+        self.arrivals = {}  # request id -> what targets did with it
         self.began = time.monotonic()
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["sidecar"]
@@ -553,6 +562,11 @@
     def note(self, text):
         self.lines.append(f"{self.now():8.3f} {text}")
 
+    def note_arrival(self, target, request, what):
+        self.arrivals.setdefault(request, []).append(
+            f"{what} at {target.id} of {target.host.name} at "
+            f"{self.now():.3f}")
+
     def add_host(self, zone, region, service):
         host = Host(self, len(self.hosts) + 1, zone, region, service)
         self.hosts.append(host)
@@ -598,7 +612,14 @@
         for host in self.hosts:
             host.kill()
         with open(self.record_path, "w") as file:
-            file.write("\n".join(self.lines) + "\n")
+            file.write("\n".join(self.lines) + "\n\n")
+            file.write("Requests: time sent, where, answer and its time, id, "
+                       "what targets did\n")
+            for sent, what, ended, status, request in sorted(
+                    self.requests, key=lambda entry: entry[0]):
+                done = "; ".join(self.arrivals.get(request, ["reached none"]))
+                file.write(f"{sent:8.3f} {what}: {status} at {ended:.3f}, "
+                           f"{request}, {done}\n")
 
 
 def main(case_folder, play):
