--- a/libs/ctl/src/RequestExplanation.cpp
+++ b/libs/ctl/src/RequestExplanation.cpp
@@ -192,8 +192,12 @@
   // A request that was retried has several responses; the last one is
   // explained.
   const Json* end = nullptr;
+  std::string lossCause;
   for (const Json& line : mLines) {
     const std::string event = TextMember(line, "event");
+    if (event == "ran" && line.contains("cause")) {
+      lossCause = TextMember(line, "cause");
+    }
     const bool ends =
       event == "answered" || event == "refused" || event == "abandoned";
     if (ends && (end == nullptr || TimeOf(line) >= TimeOf(*end))) {
@@ -215,7 +219,9 @@
            " ms, while the request was at node " +
            TextMember(*end, "target_node");
   }
-  return CauseOfResponse(*end);
+  const std::string cause = CauseOfResponse(*end);
+  return lossCause.empty() ? cause
+                           : cause + "; a response was lost: " + lossCause;
 }
 
 } // namespace papayaway
--- a/libs/ctl/tests/RequestExplanationTest.cpp
+++ b/libs/ctl/tests/RequestExplanationTest.cpp
@@ -66,6 +66,20 @@
     << explanation.Cause();
 }
 
+// Guards against an explanation that does not say why the target's response was
+// lost, which only the log of the node beside the target tells.
+TEST(RequestExplanation, SaysWhyTheResponseWasLost)
+{
+  RequestExplanation explanation("id-1");
+  ASSERT_TRUE(explanation.AddLine(
+    R"({"time":4990,"node":"b","event":"ran","request":"id-1","outcome":"target_connection_lost","cause":"malformed_response"})"));
+  ASSERT_TRUE(explanation.AddLine(
+    R"({"time":5000,"node":"c","event":"answered","request":"id-1","status":502,"by":"outcome_unknown","last":"target_connection_lost","target_node":"b","time_ms":900})"));
+  EXPECT_TRUE(
+    explanation.Cause().ends_with("; a response was lost: malformed_response"))
+    << explanation.Cause();
+}
+
 // Guards against treating a log with omitted lines as complete.
 TEST(RequestExplanation, ReportsOmittedLines)
 {
--- a/libs/http/include/http/TargetClient.h
+++ b/libs/http/include/http/TargetClient.h
@@ -24,9 +24,27 @@
   ConnectionLost,
 };
 
+/** Why a call ended with TargetOutcome::ConnectionLost. */
+enum class LossCause
+{
+  /** The target closed the connection before the response was complete. */
+  Closed,
+  /** The target reset the connection, or the network failed. */
+  Reset,
+  /** The bytes received are not a valid response. */
+  Malformed,
+  /** The response exceeds a limit of TargetClientOptions. */
+  TooLarge,
+};
+
+/** @return the name of the cause in logs. */
+const char* ToString(LossCause aCause);
+
 struct TargetResult
 {
   TargetOutcome mOutcome = TargetOutcome::ConnectionLost;
+  /** Applies to TargetOutcome::ConnectionLost only. */
+  LossCause mLossCause = LossCause::Closed;
   HttpMessage mResponse;
   /** Whether the connection had already carried an earlier call. */
   bool mReusedConnection = false;
--- a/libs/http/src/TargetClient.cpp
+++ b/libs/http/src/TargetClient.cpp
@@ -217,9 +217,11 @@
     if (aConnection->mResponseComplete) {
       const bool hasExtraBytes = consumed < aBytes.size();
       Finish(aConnection, !hasExtraBytes);
+    } else if (aConnection->mParser->Failure() == ParseFailure::Malformed) {
+      Fail(aConnection, TargetOutcome::ConnectionLost, LossCause::Malformed);
     } else if (aConnection->mParser->Failure() != ParseFailure::None ||
                aConnection->mReceivedBytes > mOptions.mMaxReceivedBytes) {
-      Fail(aConnection, TargetOutcome::ConnectionLost);
+      Fail(aConnection, TargetOutcome::ConnectionLost, LossCause::TooLarge);
     }
   }
 
@@ -241,7 +243,9 @@
       }
     }
     RecordIfStale(*aConnection, SteadyNow());
-    Fail(aConnection, TargetOutcome::ConnectionLost);
+    Fail(aConnection,
+         TargetOutcome::ConnectionLost,
+         aOrderly ? LossCause::Closed : LossCause::Reset);
   }
 
   void Finish(const ConnectionPtr& aConnection, bool aReusable)
@@ -273,7 +277,9 @@
     callback(std::move(result));
   }
 
-  void Fail(const ConnectionPtr& aConnection, TargetOutcome aOutcome)
+  void Fail(const ConnectionPtr& aConnection,
+            TargetOutcome aOutcome,
+            LossCause aLossCause = LossCause::Closed)
   {
     aConnection->mStream->Close();
     aConnection->mConnectTimer->Stop();
@@ -286,11 +292,28 @@
     // Keeps the connection alive until the deferred callbacks run: the caller
     // may be the callback of its timer.
     mLoop.Defer([aConnection] {});
-    callback(
-      { .mOutcome = aOutcome, .mReusedConnection = aConnection->mReused });
+    callback({ .mOutcome = aOutcome,
+               .mLossCause = aLossCause,
+               .mReusedConnection = aConnection->mReused });
   }
 };
 
+const char*
+ToString(LossCause aCause)
+{
+  switch (aCause) {
+    case LossCause::Closed:
+      return "connection_closed";
+    case LossCause::Reset:
+      return "connection_reset";
+    case LossCause::Malformed:
+      return "malformed_response";
+    case LossCause::TooLarge:
+      return "response_too_large";
+  }
+  return "unknown";
+}
+
 TargetClient::TargetClient(EventLoop& aLoop, TargetClientOptions aOptions)
   : mImpl(std::make_unique<Impl>(aLoop, std::move(aOptions)))
 {
--- a/libs/http/tests/TargetClientTest.cpp
+++ b/libs/http/tests/TargetClientTest.cpp
@@ -126,6 +126,7 @@
   mTargets[0]->Close();
   ASSERT_TRUE(ResultArrives());
   EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost);
+  EXPECT_EQ(mResult->mLossCause, LossCause::Closed);
 }
 
 // Guards against a response whose header ended early being taken for a response
@@ -244,6 +245,9 @@
   ASSERT_TRUE(mResult.has_value()) << "no result after " << sent << " bytes";
   EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost);
   EXPECT_LT(mResult->mResponse.mBody.size(), kMaxBytes);
+  EXPECT_EQ(mResult->mLossCause,
+            GetParam().mName == "Bytes" ? LossCause::Malformed
+                                        : LossCause::TooLarge);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -325,6 +329,7 @@
   mTargets[0]->Write("this is no answer\r\n\r\n");
   ASSERT_TRUE(ResultArrives());
   EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost);
+  EXPECT_EQ(mResult->mLossCause, LossCause::Malformed);
 }
 
 // Guards against reporting that a request may have run when it was never sent.
--- a/libs/sidecar/src/LocalTargetProxy.cpp
+++ b/libs/sidecar/src/LocalTargetProxy.cpp
@@ -334,18 +334,21 @@
   const bool good =
     reply.mOutcome == CallOutcome::Answered && reply.mStatus < 500;
   if (mLog.ShouldWrite("ran", good ? Category::Success : Category::Failure)) {
-    mLog.Write(
-      "target",
-      "ran",
-      { { "request", active.mCall.mRequestId },
-        { "target", mTarget->mId },
-        { "outcome", outcome },
-        { "status", reply.mStatus },
-        { "waited_ms", (active.mStartedAt - active.mArrivedAt).WholeMillis() },
-        { "run_ms", time.WholeMillis() },
-        { "running", mQueue.Running() },
-        { "waiting", mQueue.Waiting() },
-        { "reused_connection", aResult.mReusedConnection } });
+    nlohmann::ordered_json fields = {
+      { "request", active.mCall.mRequestId },
+      { "target", mTarget->mId },
+      { "outcome", outcome },
+      { "status", reply.mStatus },
+      { "waited_ms", (active.mStartedAt - active.mArrivedAt).WholeMillis() },
+      { "run_ms", time.WholeMillis() },
+      { "running", mQueue.Running() },
+      { "waiting", mQueue.Waiting() },
+      { "reused_connection", aResult.mReusedConnection }
+    };
+    if (aResult.mOutcome == TargetOutcome::ConnectionLost) {
+      fields["cause"] = ToString(aResult.mLossCause);
+    }
+    mLog.Write("target", "ran", fields);
   }
   const auto report = mProtocol.DecodeLoad(response.mHeaders);
   OnColdHeader(response.mHeaders);
