Do not take a reset for the end of a response

Cause: a socket reports its error once. When a reset is signalled as readable and writable, TcpStream wrote first, and send() returned ECONNRESET. recv() behind it then returned the remaining bytes and 0, which TcpStream reported as an orderly end, and an orderly end completes a response without a length. Change: TcpStream remembers the error of a failed write. The end is then orderly only if that was EPIPE: Linux returns it if the end of the stream had arrived before the reset. TargetClient reads what had arrived before the write failed, so that a response that was complete before the reset is not lost. Why it works: whichever call consumes the error, the kind of the end is known. Evidence: ScriptedServer (libs/lab) sends such responses.

--- a/libs/http/include/http/TcpStream.h
+++ b/libs/http/include/http/TcpStream.h
@@ -27,6 +27,10 @@
   /** Whether one event reads all bytes that have arrived, and the end of the
    *  connection behind them, rather than one buffer. */
   bool mReadsUntilEmpty = false;
+  /** Whether bytes that arrived before a write failed are still delivered, and
+   *  mEnded then says how the peer ended its side. Otherwise a failed write
+   * ends the stream at once. */
+  bool mReadsAfterFailedWrite = false;
 };
 
 /** One non-blocking TCP connection with a buffer for unsent bytes. */
@@ -67,7 +71,8 @@
   void CloseWhenWritten();
 
   [[nodiscard]] bool Connected() const { return !mConnecting && !mClosed; }
-  /** @return the number of buffered bytes. */
+  /** @return the number of buffered bytes. They stay buffered after a failed
+   *    write. */
   [[nodiscard]] std::size_t UnsentBytes() const { return mUnsent.size(); }
   /** @return when the socket last accepted bytes or the end of the stream. */
   [[nodiscard]] Millis LastProgress() const { return mLastProgress; }
@@ -76,6 +81,7 @@
   void OnReady(bool aRead, bool aWrite);
   void Read();
   void Flush();
+  void OnWriteFailed(int aError);
   void End(bool aOrderly);
   void Watch();
 
@@ -87,6 +93,8 @@
   bool mClosing = false;
   /** Whether the end of the stream was signalled to the peer. */
   bool mEndSent = false;
+  /** The error of a failed write; 0 if none has failed. */
+  int mWriteError = 0;
   Millis mLastProgress;
   TcpStreamHandlers mHandlers;
   TcpStreamOptions mOptions;
--- a/libs/http/src/TargetClient.cpp
+++ b/libs/http/src/TargetClient.cpp
@@ -185,7 +185,8 @@
             if (const ConnectionPtr strong = weak.lock()) {
               OnEnded(strong, aOrderly);
             }
-          } });
+          } },
+      { .mReadsAfterFailedWrite = true });
     return connection;
   }
 
--- a/libs/http/src/TcpStream.cpp
+++ b/libs/http/src/TcpStream.cpp
@@ -105,8 +105,9 @@
 TcpStream::Watch()
 {
   if (mWatcher && !mClosed) {
+    const bool hasUnsent = !mUnsent.empty() && mWriteError == 0;
     mWatcher->Watch(!mConnecting && (mReading || mClosing),
-                    mConnecting || !mUnsent.empty());
+                    mConnecting || hasUnsent);
   }
 }
 
@@ -142,8 +143,13 @@
   for (int i = 0; i < maxReads && !mClosed && (mReading || mClosing); ++i) {
     const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
     if (length <= 0) {
-      if (length == 0 || (errno != EAGAIN && errno != EINTR)) {
-        End(length == 0);
+      if (length == 0) {
+        // A socket reports its error once. If send() has already returned it,
+        // recv() returns 0 behind the last byte of a reset connection too.
+        // EPIPE means that the end of the stream had arrived before the reset.
+        End(mWriteError == 0 || mWriteError == EPIPE);
+      } else if (errno != EAGAIN && errno != EINTR) {
+        End(false);
       }
       return;
     }
@@ -156,7 +162,7 @@
 void
 TcpStream::Write(std::string_view aBytes)
 {
-  if (mClosed || mClosing) {
+  if (mClosed || mClosing || mWriteError != 0) {
     return;
   }
   mUnsent.append(aBytes);
@@ -168,16 +174,14 @@
 void
 TcpStream::Flush()
 {
-  if (mClosed) {
+  if (mClosed || mWriteError != 0) {
     return;
   }
   if (!mUnsent.empty()) {
     const ssize_t length =
       send(mDescriptor, mUnsent.data(), mUnsent.size(), MSG_NOSIGNAL);
     if (length < 0 && errno != EAGAIN && errno != EINTR) {
-      // Deferred, because the owner may not expect mEnded to be called from
-      // within its own call of Write().
-      mLoop.Defer([self = shared_from_this()] { self->End(false); });
+      OnWriteFailed(errno);
       return;
     }
     if (length > 0) {
@@ -193,6 +197,19 @@
   Watch();
 }
 
+void
+TcpStream::OnWriteFailed(int aError)
+{
+  mWriteError = aError;
+  if (mOptions.mReadsAfterFailedWrite && mReading) {
+    Watch();
+    return;
+  }
+  // Deferred, because the owner may not expect mEnded to be called from within
+  // its own call of Write().
+  mLoop.Defer([self = shared_from_this()] { self->End(false); });
+}
+
 void
 TcpStream::SetReading(bool aReading)
 {
--- a/libs/http/tests/TargetClientTest.cpp
+++ b/libs/http/tests/TargetClientTest.cpp
@@ -4,6 +4,8 @@
 #include <ostream>
 #include <string>
 
+#include <lab/ScriptedServer.h>
+
 #include "LoopFixture.h"
 
 namespace papayaway {
@@ -322,6 +324,75 @@
   EXPECT_FALSE(mResult) << "a refusal without a request id was taken";
 }
 
+/** Sends requests of 12 MiB to a server that responds before it reads them. */
+class EarlyResponse : public TargetClientTest
+{
+protected:
+  using Ending = ScriptedResponse::Ending;
+
+  void SendTo(const std::string& aAddress)
+  {
+    mResult.reset();
+    mClient->Send(
+      { .mAddress = aAddress,
+        .mMessage = { .mMethod = "POST",
+                      .mTarget = "/1",
+                      .mBody = std::string(12U << 20, 'u') },
+        .mRequestId = "1" },
+      [this](TargetResult aResult) { mResult = std::move(aResult); });
+  }
+
+  /** Sends a request that gets this response and waits for the result. */
+  void Exchange(const ScriptedResponse& aResponse)
+  {
+    ScriptedServer server(mLoop, [&](const std::string&) { return aResponse; });
+    SendTo(server.Address());
+    ASSERT_TRUE(ResultArrives());
+  }
+};
+
+// Guards against a part of a response without a length that is taken for the
+// whole, because a failed write had taken the error of the reset connection.
+TEST_F(EarlyResponse, ResetBeforeTheEndIsReportedAsLost)
+{
+  int answered = 0;
+  constexpr int kExchanges = 40;
+  for (int i = 0; i < kExchanges; ++i) {
+    ASSERT_NO_FATAL_FAILURE(
+      Exchange({ .mBytes = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" +
+                           std::string(i % 2 == 0 ? 4U : 200U << 10, 'p'),
+                 .mEnding = Ending::Reset,
+                 .mTimeToEnding = Millis{ static_cast<double>(i % 10) },
+                 .mReadsBody = false }));
+    answered += mResult->mOutcome == TargetOutcome::Answered ? 1 : 0;
+  }
+  EXPECT_EQ(answered, 0) << "of " << kExchanges;
+}
+
+// Guards against losing a response that was complete before the connection was
+// reset: by its length, or by the end of the stream.
+TEST_F(EarlyResponse, ResetAfterTheEndLosesNothing)
+{
+  int lost = 0;
+  constexpr int kExchanges = 40;
+  for (int i = 0; i < kExchanges; ++i) {
+    const std::string body(i % 4 < 2 ? 4U : 200U << 10, 'w');
+    const std::string length =
+      i % 2 == 0 ? "Content-Length: " + std::to_string(body.size()) + "\r\n"
+                 : "";
+    ASSERT_NO_FATAL_FAILURE(Exchange(
+      { .mBytes = "HTTP/1.1 200 OK\r\nId: 1\r\n" + length + "\r\n" + body,
+        .mEnding = i % 2 == 0 ? Ending::Reset : Ending::CloseThenReset,
+        .mTimeToEnding = Millis{ static_cast<double>(i % 10) },
+        .mReadsBody = false }));
+    lost += mResult->mOutcome == TargetOutcome::Answered &&
+                mResult->mResponse.mBody == body
+              ? 0
+              : 1;
+  }
+  EXPECT_EQ(lost, 0) << "of " << kExchanges;
+}
+
 TEST_F(TargetClientTest, MalformedResponseIsReportedAsLost)
 {
   Send("1");
