Reject responses whose status is below 100 at once

Callers saw: none got such a response as an answer, but the request waited until its deadline and got 504 although it was known at once that no answer would come, and if the target sent a sound response behind it, the caller got that one. Cause: TargetClient took every status below 200 for an interim response. Change: MessageParser rejects a response with a status below 100, so the attempt ends with the cause malformed_response, 502, and the connection is closed. A "not executed" field of such a response promises nothing.

--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** The smallest status code of HTTP (RFC 9110 section 15). */
+constexpr int kMinStatus = 100;
+
 bool
 IsTokenCharacter(char aCharacter)
 {
@@ -134,6 +137,10 @@
     mInHeaders = false;
     mMessage.mChunked = (mParser.flags & F_CHUNKED) != 0;
     mMessage.mStatus = static_cast<int>(mParser.status_code);
+    if (mKind == Kind::Response && mMessage.mStatus < kMinStatus) {
+      Fail(ParseFailure::Malformed);
+      return -1;
+    }
     if (mKind == Kind::Request) {
       mMessage.mMethod =
         http_method_str(static_cast<http_method>(mParser.method));
--- a/libs/http/tests/MessageParserTest.cpp
+++ b/libs/http/tests/MessageParserTest.cpp
@@ -126,6 +126,31 @@
   EXPECT_TRUE(messages.empty());
 }
 
+// Guards against reading a message whose status is no status code for an
+// interim response, and the bytes behind it for the response.
+TEST(MessageParser, StatusBelow100IsMalformed)
+{
+  for (const char* const status : { "0", "00", "000", "001", "99", "099" }) {
+    const std::string bytes = std::string("HTTP/1.1 ") + status +
+                              " None\r\nContent-Length: 0\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t segment = 1; segment <= bytes.size(); ++segment) {
+      const Parsed parsed =
+        Parse(MessageParser::Kind::Response, bytes, segment);
+      EXPECT_EQ(parsed.mFailure, ParseFailure::Malformed) << status;
+      EXPECT_TRUE(parsed.mMessages.empty()) << status;
+    }
+  }
+  for (const char* const status : { "100", "103", "200", "599" }) {
+    const Parsed parsed = Parse(MessageParser::Kind::Response,
+                                std::string("HTTP/1.1 ") + status +
+                                  " Some\r\nContent-Length: 0\r\n\r\n",
+                                1);
+    EXPECT_EQ(parsed.mFailure, ParseFailure::None) << status;
+    EXPECT_EQ(parsed.mMessages.size(), 1U) << status;
+  }
+}
+
 // Guards against forwarding fields that apply to one connection only.
 TEST(HttpText, ConnectionFieldsAreNotForwarded)
 {
