Reject responses with a header line that begins with a blank

Callers saw: a header line that begins with a blank or a tab came to them appended to the value of the field before it, also to that of the signature. Cause: http_parser takes such a line for the continuation of the previous value (obsolete line folding). Change: MessageParser parses the header of a response line by line and rejects one with such a line, as RFC 9112 section 5.2 lets a proxy do.

--- a/libs/http/include/http/MessageParser.h
+++ b/libs/http/include/http/MessageParser.h
@@ -52,10 +52,11 @@
 /**
  * Parses the bytes of one connection into messages.
  *
- * Requests whose length is ambiguous (both Content-Length and
- * Transfer-Encoding, an unknown transfer coding, invalid header names) are
- * malformed: another HTTP implementation could split the same bytes into other
- * requests, which allows request smuggling.
+ * A response is malformed if its status is below 100, or if one of its header
+ * lines begins with a blank. Requests whose length is ambiguous (both
+ * Content-Length and Transfer-Encoding, an unknown transfer coding, invalid
+ * header names) are malformed: another HTTP implementation could split the same
+ * bytes into other requests, which allows request smuggling.
  */
 class MessageParser
 {
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -30,6 +30,12 @@
          std::all_of(aText.begin(), aText.end(), IsTokenCharacter);
 }
 
+bool
+IsBlank(char aCharacter)
+{
+  return aCharacter == ' ' || aCharacter == '\t';
+}
+
 } // namespace
 
 struct MessageParser::Impl
@@ -47,6 +53,10 @@
   bool mInHeaders = false;
   bool mNoBody = false;
   bool mAtEndOfStream = false;
+  /** Whether the message callback asked to stop during the last Execute(). */
+  bool mPaused = false;
+  /** Whether the last byte parsed ended a line. */
+  bool mAtLineStart = false;
   std::size_t mHeaderBytes = 0;
   ParseFailure mFailure = ParseFailure::None;
 
@@ -220,7 +230,8 @@
     const std::size_t consumed =
       http_parser_execute(&mParser, &Settings(), aData, aSize);
     const http_errno error = HTTP_PARSER_ERRNO(&mParser);
-    if (error == HPE_PAUSED) {
+    mPaused = error == HPE_PAUSED;
+    if (mPaused) {
       http_parser_pause(&mParser, 0);
     } else if ((error != HPE_OK || mParser.upgrade != 0) &&
                mFailure == ParseFailure::None) {
@@ -229,6 +240,34 @@
     }
     return consumed;
   }
+
+  /** Parses the bytes of a response line by line up to the end of its header,
+   *  and rejects header lines that begin with a blank. http_parser would append
+   *  them to the value of the previous field; a proxy may reject such a
+   * response instead (RFC 9112 section 5.2).
+   *  @return the number of bytes consumed. */
+  std::size_t ExecuteByLine(std::string_view aBytes)
+  {
+    std::size_t consumed = 0;
+    while (consumed < aBytes.size() && mFailure == ParseFailure::None) {
+      const std::string_view rest = aBytes.substr(consumed);
+      if (mInHeaders && mAtLineStart && IsBlank(rest.front())) {
+        mFailure = ParseFailure::Malformed;
+        break;
+      }
+      const bool inBody = mInMessage && !mInHeaders;
+      const std::size_t lineEnd = inBody ? rest.npos : rest.find('\n');
+      const std::string_view part =
+        lineEnd == rest.npos ? rest : rest.substr(0, lineEnd + 1);
+      const std::size_t parsed = Execute(part.data(), part.size());
+      consumed += parsed;
+      if (mPaused || parsed < part.size()) {
+        break;
+      }
+      mAtLineStart = lineEnd != rest.npos;
+    }
+    return consumed;
+  }
 };
 
 MessageParser::MessageParser(Kind aKind,
@@ -264,7 +303,9 @@
   if (mImpl->mFailure != ParseFailure::None || aBytes.empty()) {
     return 0;
   }
-  return mImpl->Execute(aBytes.data(), aBytes.size());
+  return mImpl->mKind == Kind::Response
+           ? mImpl->ExecuteByLine(aBytes)
+           : mImpl->Execute(aBytes.data(), aBytes.size());
 }
 
 void
--- a/libs/http/tests/MessageParserTest.cpp
+++ b/libs/http/tests/MessageParserTest.cpp
@@ -151,6 +151,32 @@
   }
 }
 
+// Guards against a line that hides the length of a body, or is passed on,
+// because its field name has a blank or a control byte.
+TEST(MessageParser, FieldNameWithBlankOrControlByteIsMalformed)
+{
+  std::vector<std::string> names = { "X A", "X-A ", " X-A", "\tX-A", "X-A\t" };
+  for (int control = 0; control < 32; ++control) {
+    names.push_back(std::string("X") + static_cast<char>(control) + "A");
+  }
+  names.push_back("X\x7f"
+                  "A");
+  for (const std::string& name : names) {
+    for (const std::string& before :
+         { std::string(), std::string("B: c\r\n") }) {
+      const std::string bytes = "HTTP/1.1 200 OK\r\n" + before + name +
+                                ": v\r\nContent-Length: 0\r\n\r\n";
+      for (std::size_t segment = 1; segment <= bytes.size(); ++segment) {
+        const Parsed parsed =
+          Parse(MessageParser::Kind::Response, bytes, segment);
+        EXPECT_EQ(parsed.mFailure, ParseFailure::Malformed)
+          << bytes << " in segments of " << segment;
+        EXPECT_TRUE(parsed.mMessages.empty());
+      }
+    }
+  }
+}
+
 // Guards against forwarding fields that apply to one connection only.
 TEST(HttpText, ConnectionFieldsAreNotForwarded)
 {
