Do not reuse easy handles of libcurl

Callers saw: papayaway-node ended with a segmentation fault when a target sent a response whose first header line began with a blank, so all requests at that node were lost. Cause: libcurl 7.88 keeps a pointer to the last header line of a transfer in the easy handle; curl_easy_reset() does not clear it, and the line is freed when the next transfer starts. A folded first header line is appended to it (use after free). HttpClient kept its easy handles for reuse. Change: each transfer has a handle of its own; connections are still pooled by the multi handle. After: net.BrokenResponse.FoldedFirstHeaderLineIsNoPartOfAnotherResponse passes. The other new tests of net keep what was right before: of 72 partial responses to uploads of 8 to 20 MiB and 32 responses with a status below 100, libcurl reported none as complete.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cstring>
 #include <unordered_map>
-#include <vector>
 
 #include <curl/curl.h>
 
@@ -11,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxPooledHandles = 256;
 constexpr std::size_t kMaxHeaderBytes = std::size_t{ 64 } << 10;
 /** After this time, connections opened before ExcludeOpenConnections() need no
  *  exclusion: libcurl does not reuse a connection that was idle for 118 s. */
@@ -68,7 +66,6 @@
   CallId mNextId = 1;
   std::unordered_map<CallId, std::unique_ptr<Transfer>> mTransfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<IoWatcher>> mWatchers;
-  std::vector<CURL*> mIdleHandles;
 
   Impl(EventLoop& aLoop, const HttpClientOptions& aOptions)
     : mLoop(aLoop)
@@ -323,12 +320,10 @@
   curl_multi_remove_handle(mMulti, aTransfer.mHandle);
   curl_slist_free_all(aTransfer.mHeaderList);
   aTransfer.mHeaderList = nullptr;
-  if (mIdleHandles.size() < kMaxPooledHandles) {
-    curl_easy_reset(aTransfer.mHandle);
-    mIdleHandles.push_back(aTransfer.mHandle);
-  } else {
-    curl_easy_cleanup(aTransfer.mHandle);
-  }
+  // Not reused: curl_easy_reset() of libcurl 7.88 keeps a pointer to the last
+  // header line, which is freed when the next transfer starts. A response whose
+  // first header line is folded would be appended to it.
+  curl_easy_cleanup(aTransfer.mHandle);
 }
 
 HttpClient::HttpClient(EventLoop& aLoop, const HttpClientOptions& aOptions)
@@ -364,9 +359,6 @@
   for (auto& [id, transfer] : mImpl->mTransfers) {
     mImpl->Release(*transfer);
   }
-  for (CURL* const handle : mImpl->mIdleHandles) {
-    curl_easy_cleanup(handle);
-  }
   curl_multi_cleanup(mImpl->mMulti);
 }
 
@@ -379,12 +371,7 @@
   transfer->mCallback = std::move(aCallback);
   transfer->mMaxBody = mImpl->mOptions.mMaxBody;
   transfer->mLastResponse = mImpl->mOptions.mLastResponse;
-  if (mImpl->mIdleHandles.empty()) {
-    transfer->mHandle = curl_easy_init();
-  } else {
-    transfer->mHandle = mImpl->mIdleHandles.back();
-    mImpl->mIdleHandles.pop_back();
-  }
+  transfer->mHandle = curl_easy_init();
   mImpl->Prepare(*transfer);
   Impl::Transfer& started = *transfer;
   mImpl->mTransfers.emplace(started.mId, std::move(transfer));
--- /dev/null
+++ b/libs/net/tests/BrokenResponseTest.cpp
@@ -0,0 +1,134 @@
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <lab/LoopWait.h>
+#include <lab/ScriptedServer.h>
+#include <net/HttpClient.h>
+
+namespace papayaway {
+namespace {
+
+using Ending = ScriptedResponse::Ending;
+
+/** A server with a scripted response, and a client of it. */
+class BrokenResponse : public testing::Test
+{
+protected:
+  /** Sends a request that gets mResponse.
+   *  @return the result; a timeout if it does not arrive in time. */
+  HttpResult Call(std::size_t aBodySize = 0)
+  {
+    HttpResult result{ .mFailure = HttpFailure::Timeout };
+    bool done = false;
+    HttpCall call{ .mAddress = mServer.Address(),
+                   .mTimeout = Seconds(3),
+                   .mIdempotent = aBodySize == 0 };
+    call.mRequest.mMethod = aBodySize > 0 ? "POST" : "GET";
+    call.mRequest.mBody.assign(aBodySize, 'u');
+    mClient.Send(std::move(call), [&](HttpResult aResult) {
+      result = std::move(aResult);
+      done = true;
+    });
+    EXPECT_TRUE(RunUntil(
+      mLoop, [&] { return done; }, Seconds(10)));
+    return result;
+  }
+
+  /** Checks that none of the responses is passed on, that each request reached
+   *  the server once, and that the connections are not used again. libcurl
+   *  rejects some malformed responses itself, which counts as a lost
+   * connection.
+   */
+  void ExpectLost(const std::vector<ScriptedResponse>& aResponses,
+                  std::size_t aBodySize = 0)
+  {
+    std::string passedOn;
+    for (const ScriptedResponse& response : aResponses) {
+      mResponse = response;
+      const int requests = mServer.Requests();
+      const HttpResult result = Call(aBodySize);
+      const bool lost = result.mFailure == HttpFailure::ConnectionLost;
+      if (!lost || !result.mMayHaveRun) {
+        passedOn += "failure " +
+                    std::to_string(static_cast<int>(result.mFailure)) +
+                    ", status " + std::to_string(result.mResponse.mStatus) +
+                    " to " + response.mBytes.substr(0, 60) + "\n";
+      }
+      EXPECT_EQ(mServer.Requests(), requests + 1);
+      mResponse = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                    "Connection: close\r\n\r\nwhole" };
+      EXPECT_EQ(Call().mResponse.mBody, "whole");
+    }
+    EXPECT_EQ(mServer.MostRequestsOnAConnection(), 1);
+    EXPECT_EQ(passedOn, "") << "of " << aResponses.size();
+  }
+
+  EventLoop mLoop;
+  ScriptedResponse mResponse;
+  ScriptedServer mServer{ mLoop,
+                          [this](const std::string&) { return mResponse; } };
+  HttpClient mClient{ mLoop, {} };
+};
+
+// Guards against a part of a response that is taken for the whole: the server
+// responds without a length before it has read a long request, and resets the
+// connection while the request is still being written.
+TEST_F(BrokenResponse, ResetDuringAnUploadIsNoEndOfTheResponse)
+{
+  std::vector<ScriptedResponse> responses;
+  for (const double timeToReset : { 0., 1., 5., 30. }) {
+    for (const std::size_t partSize : { 4U, 200U << 10 }) {
+      for (const char* const start :
+           { "HTTP/1.1 200 OK\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+             "HTTP/1.1 500 Error\r\nConnection: close\r\n\r\n" }) {
+        responses.push_back({ start + std::string(partSize, 'p'),
+                              Ending::Reset,
+                              Millis{ timeToReset },
+                              false });
+      }
+    }
+  }
+  for (const std::size_t mebibytes : { 8U, 12U, 20U }) {
+    ExpectLost(responses, mebibytes << 20);
+  }
+}
+
+// Guards against passing on a response whose status is no status code; libcurl
+// rejects it.
+TEST_F(BrokenResponse, StatusBelow100IsNoResponse)
+{
+  std::vector<ScriptedResponse> responses;
+  for (const char* const status : { "000", "001", "020", "099" }) {
+    const std::string start =
+      std::string("HTTP/1.1 ") + status + " None\r\nOutcome: not-run\r\n";
+    responses.push_back({ start + "Content-Length: 4\r\n\r\npart" });
+    responses.push_back({ start + "\r\npart", Ending::Close });
+    responses.push_back(
+      { start + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n" });
+    responses.push_back({ start + "Content-Length: 0\r\n\r\n"
+                                  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+                                  "part" });
+  }
+  ExpectLost(responses);
+  ExpectLost(responses, 10);
+}
+
+// Guards against a crash: libcurl would append a folded first header line to the
+// last one of the response before it.
+TEST_F(BrokenResponse, FoldedFirstHeaderLineIsNoPartOfAnotherResponse)
+{
+  for (int i = 0; i < 5; ++i) {
+    mResponse = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Last: " +
+                  std::string(100, 'x') + "\r\n\r\nwhole" };
+    EXPECT_EQ(Call().mResponse.mBody, "whole");
+    mResponse = { "HTTP/1.1 200 OK\r\n folded\r\nContent-Length: 4\r\n\r\n"
+                  "part" };
+    EXPECT_NE(Call().mFailure, HttpFailure::None);
+  }
+}
+
+} // namespace
+} // namespace papayaway
