Reject handshake responses with invalid field names

Seen: a link was opened although the response to its handshake had a field name with a blank before the colon. No caller was affected. Cause: websocketpp removes blanks around field names. Change: PeerSocket holds back the response to its handshake until the header is complete, at most 16 KiB, and checks the names of its fields. Evidence: net.PeerHandshake.BrokenResponseOpensNoLink: 1 of 5 broken handshakes opened a link before, none after; sound ones still do.

--- a/libs/net/src/PeerSocket.cpp
+++ b/libs/net/src/PeerSocket.cpp
@@ -3,12 +3,15 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <net/Http.h>
 #include <net/SocketAddress.h>
 
 #include "WebSocketSession.h"
@@ -23,6 +26,27 @@
 constexpr int kMaxReadsPerEvent = 16;
 /** Maximum number of accepted connections whose handshake is incomplete. */
 constexpr std::size_t kMaxPendingHandshakes = 512;
+/** Maximum size of the header of a handshake response. */
+constexpr std::size_t kMaxHandshakeBytes = std::size_t{ 16 } << 10;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+
+/** @param aHeader a status line and field lines, without the empty line.
+ *  @return whether all field lines have valid field names. */
+bool
+HasValidFieldLines(std::string_view aHeader)
+{
+  std::size_t at = aHeader.find(kLineEnd);
+  while (at != std::string_view::npos) {
+    at += kLineEnd.size();
+    const std::size_t end = aHeader.find(kLineEnd, at);
+    if (!IsFieldLine(aHeader.substr(at, end - at))) {
+      return false;
+    }
+    at = end;
+  }
+  return true;
+}
 
 void
 DisableNagle(int aDescriptor)
@@ -43,6 +67,9 @@
   std::unique_ptr<IoWatcher> mWatcher;
   std::unique_ptr<Timer> mHandshakeTimer;
   std::string mUnsent;
+  /** The peer's response to the handshake of this side, until its header is
+   *  complete; nothing once it was checked. */
+  std::optional<std::string> mHandshakeResponse;
   std::uint64_t mBytesSent = 0;
   std::uint64_t mBytesReceived = 0;
   bool mConnecting = false;
@@ -143,7 +170,7 @@
       const ssize_t length = recv(mDescriptor, buffer.data(), buffer.size(), 0);
       if (length > 0) {
         mBytesReceived += static_cast<std::uint64_t>(length);
-        mSession->Receive(buffer.data(), static_cast<std::size_t>(length));
+        Receive({ buffer.data(), static_cast<std::size_t>(length) });
         continue;
       }
       if (length == 0) {
@@ -155,6 +182,30 @@
     }
   }
 
+  void Receive(std::string_view aBytes)
+  {
+    if (!mHandshakeResponse) {
+      mSession->Receive(aBytes.data(), aBytes.size());
+      return;
+    }
+    mHandshakeResponse->append(aBytes);
+    const std::size_t end = mHandshakeResponse->find(kHeaderEnd);
+    if (end == std::string::npos) {
+      if (mHandshakeResponse->size() > kMaxHandshakeBytes) {
+        End("the header of the handshake response is too large");
+      }
+      return;
+    }
+    const std::string response = std::move(*mHandshakeResponse);
+    mHandshakeResponse.reset();
+    // websocketpp removes blanks around field names.
+    if (!HasValidFieldLines(std::string_view(response).substr(0, end))) {
+      End("the handshake response is malformed");
+      return;
+    }
+    mSession->Receive(response.data(), response.size());
+  }
+
   void ScheduleFlush()
   {
     if (mFlushScheduled || mConnecting || mEnded) {
@@ -258,6 +309,7 @@
   auto impl = std::make_shared<Impl>(aLoop, descriptor, aOptions);
   impl->mHandlers = std::move(aHandlers);
   impl->mConnecting = true;
+  impl->mHandshakeResponse.emplace();
   impl->mSession = WebSocketSession::Connect(
     aAddress, aAuthorization, impl->SessionHandlers());
   impl->Start(true);
--- a/libs/net/tests/BrokenResponseTest.cpp
+++ b/libs/net/tests/BrokenResponseTest.cpp
@@ -1,11 +1,15 @@
+#include <array>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <openssl/evp.h>
+#include <openssl/sha.h>
 
 #include <lab/LoopWait.h>
 #include <lab/ScriptedServer.h>
 #include <net/HttpClient.h>
+#include <net/PeerSocket.h>
 
 namespace papayaway {
 namespace {
@@ -170,5 +174,64 @@
   ExpectLost(responses);
 }
 
+/** @return the value of Sec-WebSocket-Accept for this Sec-WebSocket-Key
+ *    (RFC 6455 section 4.2.2). */
+std::string
+AcceptValue(const std::string& aKey)
+{
+  const std::string text = aKey + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
+  std::array<unsigned char, SHA_DIGEST_LENGTH> digest{};
+  SHA1(reinterpret_cast<const unsigned char*>(text.data()),
+       text.size(),
+       digest.data());
+  std::array<unsigned char, 4 * SHA_DIGEST_LENGTH> encoded{};
+  const int length =
+    EVP_EncodeBlock(encoded.data(), digest.data(), digest.size());
+  return { encoded.begin(), encoded.begin() + length };
+}
+
+/** Opens a link to a server that answers the handshake with these lines.
+ *  @return whether the link was opened rather than closed. */
+bool
+HandshakeOpensLink(const std::string& aLines)
+{
+  EventLoop loop;
+  ScriptedServer server(loop, [&](const std::string& aHeader) {
+    return ScriptedResponse{
+      aLines +
+      "Upgrade: websocket\r\nConnection: Upgrade\r\n"
+      "Sec-WebSocket-Accept: " +
+      AcceptValue(HeaderField(aHeader, "Sec-WebSocket-Key")) + "\r\n\r\n"
+    };
+  });
+  bool opened = false;
+  bool closed = false;
+  const auto link = PeerSocket::Connect(
+    loop,
+    server.Address(),
+    "secret",
+    { .mOpened = [&] { opened = true; },
+      .mClosed = [&](const std::string&) { closed = true; } });
+  EXPECT_TRUE(RunUntil(
+    loop, [&] { return opened || closed; }, Seconds(3)));
+  return opened;
+}
+
+// Guards against a link to a server whose handshake is broken.
+TEST(PeerHandshake, BrokenResponseOpensNoLink)
+{
+  const std::string start = "HTTP/1.1 101 Switching Protocols\r\n";
+  EXPECT_TRUE(HandshakeOpensLink(start));
+  EXPECT_TRUE(HandshakeOpensLink(start + "X-Good: v\r\n"));
+  for (const std::string& lines : { std::string("HTTP/1.1 000 None\r\n"),
+                                    std::string("HTTP/1.1 200 OK\r\n"),
+                                    start + "X Bad: v\r\n",
+                                    start + "X-Bad : v\r\n",
+                                    start + "X\x01"
+                                            "Bad: v\r\n" }) {
+    EXPECT_FALSE(HandshakeOpensLink(lines)) << lines;
+  }
+}
+
 } // namespace
 } // namespace papayaway
