Log lost responses of targets in papayaway-node

Seen: papayaway-node answered 502 when a response was lost and logged nothing, so the cause could not be found from the id of a request. Change: a log line with the caller's X-Request-Id, the fingerprint and the cause, at most ten a second. Evidence: node.Paths/BrokenResponse.* sends broken responses to real processes, to the node beside the target and over a link. Resets and statuses below 100 were answered with 502 before, too. After, six of six pass.

--- a/libs/node/src/Outcomes.h
+++ b/libs/node/src/Outcomes.h
@@ -13,6 +13,8 @@
 constexpr std::string_view kDeadlineHeader = "Papayaway-Deadline";
 constexpr std::string_view kAttemptHeader = "Papayaway-Attempt";
 constexpr std::string_view kKeyHeader = "Idempotency-Key";
+/** The id that a caller may give a request, for the log. */
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
 /** Marks a refusal after which the call is redirected to another version. */
 constexpr std::string_view kRefusalHeader = "Papayaway-Refusal";
--- a/libs/node/src/TargetProxy.cpp
+++ b/libs/node/src/TargetProxy.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <glog/logging.h>
+
 #include <net/Http.h>
 
 #include "Outcomes.h"
@@ -18,6 +20,27 @@
 constexpr Millis kQueueCheckPeriod{ 5 };
 constexpr Millis kKeyExpiryPeriod = Seconds(10);
 
+/** Shortest time between two log lines about lost responses. */
+constexpr double kLossLogPeriodSeconds = 0.1;
+
+/** Logs why the target's response to a call was lost, with the id that the
+ *  caller gave the request, if any. */
+void
+LogLoss(const Call& aCall,
+        const std::string& aFingerprint,
+        const std::string& aCause)
+{
+  std::string_view id;
+  for (const auto& [name, value] : aCall.mHeaders) {
+    if (EqualIgnoringCase(name, kRequestIdHeader)) {
+      id = value;
+    }
+  }
+  LOG_EVERY_T(WARNING, kLossLogPeriodSeconds)
+    << "target: no response to request " << (IsToken(id) ? id : "without id")
+    << ", fingerprint " << aFingerprint << ": " << aCause;
+}
+
 prometheus::Counter&
 RefusalCounter(NodeMetrics& aMetrics, const std::string& aReason)
 {
@@ -271,6 +294,10 @@
     OnSlotReleased(CallEnd::Other, {});
     return;
   }
+  if (aResult.mFailure == HttpFailure::ConnectionLost ||
+      aResult.mFailure == HttpFailure::Malformed) {
+    LogLoss(call, served.mFingerprint, aResult.mError);
+  }
   if (aResult.mFailure == HttpFailure::None) {
     mLastResponse = SteadyNow();
   } else if (aResult.mFailure == HttpFailure::Timeout &&
--- a/libs/node/tests/RawTarget.cpp
+++ b/libs/node/tests/RawTarget.cpp
@@ -12,6 +12,24 @@
 
 namespace papayaway {
 
+void
+AnnounceTarget(Cluster& aCluster,
+               const std::string& aNode,
+               const std::string& aService,
+               const std::string& aAddress)
+{
+  const nlohmann::json body{ { "service", aService }, { "version", "v1" },
+                             { "address", aAddress }, { "slots", 4 },
+                             { "connections", 8 },    { "state", "ready" },
+                             { "instance", "raw" } };
+  aCluster.Client().Send(
+    { .mAddress = aCluster.NodeProcess(aNode).Address("admin"),
+      .mRequest = { .mMethod = "POST",
+                    .mPath = "/v1/target",
+                    .mBody = body.dump() } },
+    [](const HttpResult&) {});
+}
+
 RawTarget::RawTarget(Cluster& aCluster,
                      const std::string& aNode,
                      std::string aResponse,
@@ -53,16 +71,7 @@
 RawTarget::Announce(const std::string& aService)
 {
   mService = aService;
-  const nlohmann::json body{ { "service", aService }, { "version", "v1" },
-                             { "address", mAddress }, { "slots", 4 },
-                             { "connections", 8 },    { "state", "ready" },
-                             { "instance", "raw" } };
-  mCluster.Client().Send(
-    { .mAddress = mCluster.NodeProcess(mNode).Address("admin"),
-      .mRequest = { .mMethod = "POST",
-                    .mPath = "/v1/target",
-                    .mBody = body.dump() } },
-    [](const HttpResult&) {});
+  AnnounceTarget(mCluster, mNode, aService, mAddress);
   mAnnouncements.StartOnce({ 500 });
 }
 
--- a/libs/node/tests/RawTarget.h
+++ b/libs/node/tests/RawTarget.h
@@ -9,6 +9,12 @@
 
 namespace papayaway {
 
+/** Announces a target with this address to a node. */
+void AnnounceTarget(Cluster& aCluster,
+                    const std::string& aNode,
+                    const std::string& aService,
+                    const std::string& aAddress);
+
 /** A target that answers every request with the same raw bytes, which need not
  *  be valid HTTP, and closes the connection or sends without end. */
 class RawTarget
