--- a/libs/lab/include/lab/ScriptedServer.h
+++ b/libs/lab/include/lab/ScriptedServer.h
@@ -67,6 +67,12 @@
    */
   [[nodiscard]] int Requests(const std::string& aId) const;
 
+  /** @return how often each value of X-Request-Id was received. */
+  [[nodiscard]] const std::map<std::string, int>& RequestsById() const
+  {
+    return mRequestsById;
+  }
+
   /** @return the greatest number of requests received on one connection. */
   [[nodiscard]] int MostRequestsOnAConnection() const
   {
--- a/libs/net/tests/BrokenResponseTest.cpp
+++ b/libs/net/tests/BrokenResponseTest.cpp
@@ -121,8 +121,8 @@
   ExpectLost(responses, 10);
 }
 
-// Guards against a crash: libcurl would append a folded first header line to the
-// last one of the response before it.
+// Guards against a crash: libcurl would append a folded first header line to
+// the last one of the response before it.
 TEST_F(BrokenResponse, FoldedFirstHeaderLineIsNoPartOfAnotherResponse)
 {
   for (int i = 0; i < 5; ++i) {
