Accept a status line only at the start of a response

Cause: HttpClient took each header line that begins with "HTTP/" for the status line of a further response and discarded the fields before it. Change: a status line is expected at the start and behind an empty line only.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -49,6 +49,9 @@
     std::size_t mBodySent = 0;
     /** Number of bytes in header lines, of interim responses too. */
     std::size_t mHeaderBytes = 0;
+    /** Whether a status line was received, but not the empty line after the
+     *  header fields. */
+    bool mInHeader = false;
     /** Whether the empty line after the header fields was received. */
     bool mHeaderComplete = false;
     /** Whether a header line without a valid field name was received. */
@@ -130,12 +133,14 @@
   if (transfer.mHeaderBytes > kMaxHeaderBytes) {
     return 0;
   }
-  if (line.starts_with("HTTP/")) {
+  if (!transfer.mInHeader && line.starts_with("HTTP/")) {
     // A status line begins a new response: discard the headers of an interim
     // one such as 100 Continue.
     transfer.mResult.mResponse.mHeaders = {};
+    transfer.mInHeader = true;
     transfer.mHeaderComplete = false;
   } else if (line == "\r\n" || line == "\n") {
+    transfer.mInHeader = false;
     transfer.mHeaderComplete = true;
   } else if (!IsFieldLine(line)) {
     // libcurl passes on almost any line, also one that another reader would
--- a/libs/net/tests/BrokenResponseTest.cpp
+++ b/libs/net/tests/BrokenResponseTest.cpp
@@ -41,10 +41,8 @@
   }
 
   /** Checks that none of the responses is passed on, that each request reached
-   *  the server once, and that the connections are not used again. libcurl
-   *  rejects some malformed responses itself, which counts as a lost
-   * connection.
-   */
+   *  the server once, and that the connections are not used again. Some
+   *  malformed responses are rejected by libcurl, as a lost connection. */
   void ExpectLost(const std::vector<ScriptedResponse>& aResponses,
                   std::size_t aBodySize = 0)
   {
@@ -152,6 +150,7 @@
                                                "Bad: v"),
                                    std::string("X\0Bad: v", 8),
                                    std::string(": v"),
+                                   std::string("HTTP/1.1 X: v"),
                                    std::string("no field") }) {
     const std::string length = "Content-Length: 4\r\n";
     responses.push_back(
