Reset connections of a scripted server that is destroyed

Cause: a fault of the tool. The soak destroyed the server of broken responses at the end of the fault, which closed a connection in an orderly way 7 ms after a response without a length, before it was to be reset; so that response was complete. Change: the destructor resets the connections that were to be reset. Evidence: http.EarlyResponse.DestroyedServerResetsItsConnections failed before (the response was taken for complete) and passes.

--- a/libs/http/tests/TargetClientTest.cpp
+++ b/libs/http/tests/TargetClientTest.cpp
@@ -363,12 +363,31 @@
                            std::string(i % 2 == 0 ? 4U : 200U << 10, 'p'),
                  .mEnding = Ending::Reset,
                  .mTimeToEnding = Millis{ static_cast<double>(i % 10) },
-                 .mReadsBody = false }));
+                 .mReadsBody = i % 4 == 3 }));
     answered += mResult->mOutcome == TargetOutcome::Answered ? 1 : 0;
   }
   EXPECT_EQ(answered, 0) << "of " << kExchanges;
 }
 
+// Guards against a server of tests that ends a response in an orderly way when
+// it is destroyed before it was to reset the connection.
+TEST_F(EarlyResponse, DestroyedServerResetsItsConnections)
+{
+  auto server =
+    std::make_unique<ScriptedServer>(mLoop, [&](const std::string&) {
+      return ScriptedResponse{ .mBytes = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart",
+                               .mEnding = Ending::Reset,
+                               .mTimeToEnding = Seconds(10) };
+    });
+  SendTo(server->Address());
+  ASSERT_TRUE(RunUntil([&] { return server->Requests() == 1; }));
+  RunFor(Millis{ 200 });
+  server.reset();
+  ASSERT_TRUE(ResultArrives());
+  EXPECT_EQ(mResult->mOutcome, TargetOutcome::ConnectionLost);
+  EXPECT_EQ(mResult->mLossCause, LossCause::Reset);
+}
+
 // Guards against losing a response that was complete before the connection was
 // reset: by its length, or by the end of the stream.
 TEST_F(EarlyResponse, ResetAfterTheEndLosesNothing)
--- a/libs/lab/src/ScriptedServer.cpp
+++ b/libs/lab/src/ScriptedServer.cpp
@@ -60,7 +60,7 @@
 
 struct ScriptedServer::Connection
 {
-  int mSocket;
+  int mSocket = -1;
   std::unique_ptr<IoWatcher> mWatcher;
   std::unique_ptr<Timer> mTimer;
   std::string mInput;
@@ -105,6 +105,15 @@
 {
   mAcceptor.reset();
   close(mListener);
+  for (const auto& [number, connection] : mConnections) {
+    // An orderly close would complete a response that has no length.
+    const bool isOpen = connection->mSocket >= 0;
+    if (isOpen && connection->mResponse &&
+        connection->mResponse->mEnding == ScriptedResponse::Ending::Reset) {
+      connection->mWatcher.reset();
+      Reset(*connection);
+    }
+  }
 }
 
 int
