--- a/libs/http/include/http/TcpStream.h
+++ b/libs/http/include/http/TcpStream.h
@@ -28,8 +28,8 @@
    *  connection behind them, rather than one buffer. */
   bool mReadsUntilEmpty = false;
   /** Whether bytes that arrived before a write failed are still delivered, and
-   *  mEnded then says how the peer ended its side. Otherwise a failed write
-   * ends the stream at once. */
+   *  mEnded says how the peer ended its side. Otherwise a failed write ends the
+   *  stream at once. */
   bool mReadsAfterFailedWrite = false;
 };
 
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -223,10 +223,10 @@
     return consumed;
   }
 
-  /** Parses the bytes of a response line by line up to the end of its header,
-   *  and rejects header lines that begin with a blank. http_parser would append
-   *  them to the value of the previous field; a proxy may reject such a
-   * response instead (RFC 9112 section 5.2).
+  /** Parses the bytes of a response, its header line by line, and rejects
+   *  header lines that begin with a blank. http_parser would append them to the
+   *  value of the previous field; a proxy may reject the response instead
+   *  (RFC 9112 section 5.2).
    *  @return the number of bytes consumed. */
   std::size_t ExecuteByLine(std::string_view aBytes)
   {
