Wait until a started process has released the listeners

Cause: between fork() and exec, the child holds the descriptors of the soak, also of a listener that the soak closes meanwhile. Change: ChildProcess::Start() returns when the program is executed.

--- a/libs/lab/src/ChildProcess.cpp
+++ b/libs/lab/src/ChildProcess.cpp
@@ -1,6 +1,7 @@
 #include <lab/ChildProcess.h>
 
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -25,7 +26,9 @@
 {
   // The kernel kills this process when its parent ends.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  dup2(aOutput, STDOUT_FILENO);
+  if (aOptions.mPrintsReadyLine) {
+    dup2(aOutput, STDOUT_FILENO);
+  }
   const int log =
     open(aOptions.mLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (log >= 0) {
@@ -69,6 +72,17 @@
   return line;
 }
 
+/** Waits until the other end of a pipe is closed. It is closed when the child
+ *  executes its program, and with it the child's copies of the descriptors of
+ *  this process, such as listening sockets. */
+void
+WaitForEnd(int aPipe)
+{
+  char byte = 0;
+  while (read(aPipe, &byte, 1) < 0 && errno == EINTR) {
+  }
+}
+
 } // namespace
 
 Expected<ChildProcess>
@@ -86,6 +100,7 @@
   }
   close(pipe[1]);
   if (!aOptions.mPrintsReadyLine) {
+    WaitForEnd(pipe[0]);
     close(pipe[0]);
     return process;
   }
