Notice by the age of confirmations that readers have lost the store

Cause: a call of a reader waits 2.2 s for a change and is given up 0.8 s later; until then it counts as working. No node knew how old the region's knowledge was. Evidence: in the logs of the case, 2.65 of 2.82 s pass before the first store_does_not_answer, 0.17 s until the next node reads, 1 ms until all have the change. Change: answers of the store confirm the rows up to a time. Readers send these times to their region, and other nodes start reading when the newest one is too old. Waits and ages follow from the new setting propagation_ms. Why it works: a change that no confirmation covers is read by another node before the limit, whatever made the readers silent.

--- a/libs/config/include/config/SidecarSettings.h
+++ b/libs/config/include/config/SidecarSettings.h
@@ -44,6 +44,9 @@
   std::string mStoreAddress;
 
   // [limits]
+  /** The time within which a change of the operator rows must be in force on
+   *  all nodes. */
+  Millis mPropagationLimit = Seconds(2);
   /** The time between SIGTERM and SIGKILL. */
   Millis mGracePeriod = Seconds(6);
   /** The maximum fraction of the requests of a service, over all nodes, that
--- a/libs/config/src/SidecarSettings.cpp
+++ b/libs/config/src/SidecarSettings.cpp
@@ -89,6 +89,8 @@
     { { "target", "service", true }, Name(&S::mService) },
     { { "target", "check_in_ms" }, Duration(&S::mCheckInPeriod, 10, 600'000) },
     { { "store", "address", true }, Address(&S::mStoreAddress, false) },
+    { { "limits", "propagation_ms" },
+      Duration(&S::mPropagationLimit, 1, 600'000) },
     { { "limits", "grace_ms" }, Duration(&S::mGracePeriod, 0, 600'000) },
     { { "limits", "repeat_share" }, NumberUpTo(&S::mMaxRetryFraction, 1) },
     { { "limits", "cold_factor" }, NumberUpTo(&S::mColdFactor, 100) },
--- a/libs/gateway/include/gateway/FollowerElection.h
+++ b/libs/gateway/include/gateway/FollowerElection.h
@@ -40,6 +40,11 @@
   /** How long they try before the next nodes do. It is longer than the timeout
    *  of a store call (0.8 s), after which a silent store is detected. */
   Millis mProbeInterval{ 1000 };
+  /** While no node of the group has a recent confirmation of the store, the
+   *  groups of probing nodes start at this interval, and none stops, until
+   *  mTakeoverTime has passed. */
+  Millis mTakeoverInterval{ 100 };
+  Millis mTakeoverTime{ 300 };
 };
 
 /**
@@ -49,7 +54,8 @@
  * calls are billed, and all of them would read the rows over the link between
  * regions as soon as the store returns. Therefore the first candidates keep
  * trying. The other nodes try in rotation, a few at a time, because the store
- * may refuse some nodes and serve the others.
+ * may refuse some nodes and serve the others. As long as a change can still be in
+ * force in time, more and more nodes try.
  */
 class FollowerElection
 {
@@ -64,11 +70,14 @@
    * @param aOwn the name of this node.
    * @param aNodes the reachable candidates of the group, including this node if
    *    it is one, in the same order on all nodes.
+   * @param aOverdueFor for how long the newest confirmation of the store that
+   *    the group has had has been too old, if it is.
    * @return whether this node follows the store from now on.
    */
   bool Decide(std::string_view aOwn,
               std::span<const FollowerCandidate> aNodes,
-              Millis aNow);
+              Millis aNow,
+              std::optional<Millis> aOverdueFor = std::nullopt);
 
 private:
   FollowerElectionOptions mOptions;
--- a/libs/gateway/include/gateway/StateFreshness.h
+++ b/libs/gateway/include/gateway/StateFreshness.h
@@ -65,8 +65,13 @@
   /** To be called periodically, more often than mMaxTickGap. */
   void OnTick(Millis aNow);
 
-  /** Handles an answer of the store that contains all changes so far. */
-  void OnStoreAnswer(Millis aNow);
+  /** Handles an answer of the store.
+   *  @param aConfirmedAt the time up to which it contains all changes. */
+  void OnStoreAnswer(Millis aConfirmedAt, Millis aNow);
+
+  /** @return whether messages that are processed now may have arrived long ago,
+   *    because this process was stopped. */
+  [[nodiscard]] bool IgnoresReports(Millis aNow);
 
   /** Handles the report of another node.
    *  @param aVersion the version in force there.
--- a/libs/gateway/src/FollowerElection.cpp
+++ b/libs/gateway/src/FollowerElection.cpp
@@ -9,7 +9,8 @@
 bool
 FollowerElection::Decide(std::string_view aOwn,
                          std::span<const FollowerCandidate> aNodes,
-                         Millis aNow)
+                         Millis aNow,
+                         std::optional<Millis> aOverdueFor)
 {
   std::size_t working = 0;
   std::vector<FollowerCandidate> others;
@@ -50,17 +51,25 @@
     return true;
   }
   const auto ownEntry = std::find_if(firstEnd, others.end(), isOwn);
-  if (!failing || ownEntry == others.end()) {
+  if ((!failing && !aOverdueFor) || ownEntry == others.end()) {
     return false;
   }
   // The other nodes probe the store in groups, one group in each interval.
   const auto position = static_cast<std::size_t>(ownEntry - firstEnd);
+  const std::size_t group = position / mOptions.mProbingNodes;
+  if (aOverdueFor && *aOverdueFor < mOptions.mTakeoverTime) {
+    return *aOverdueFor >=
+           mOptions.mTakeoverInterval * static_cast<double>(group);
+  }
+  if (!mFailingSince) {
+    return false;
+  }
   const auto groupCount =
     (others.size() - missingFollowers + mOptions.mProbingNodes - 1) /
     mOptions.mProbingNodes;
   const auto round = static_cast<std::size_t>(
     std::floor((aNow - *mFailingSince) / mOptions.mProbeInterval));
-  return position / mOptions.mProbingNodes == round % groupCount;
+  return group == round % groupCount;
 }
 
 } // namespace papayaway::gateway
--- a/libs/gateway/src/StateFreshness.cpp
+++ b/libs/gateway/src/StateFreshness.cpp
@@ -24,18 +24,24 @@
 void
 StateFreshness::Confirm(Millis aAt, Millis aNow)
 {
-  // The first input after a gap may be processed before the tick.
-  OnTick(aNow);
-  if (aNow >= mIgnoreUntil && (!mConfirmedAt || aAt > *mConfirmedAt)) {
+  if (!IgnoresReports(aNow) && (!mConfirmedAt || aAt > *mConfirmedAt)) {
     mConfirmedAt = aAt;
   }
 }
 
+bool
+StateFreshness::IgnoresReports(Millis aNow)
+{
+  // The first input after a gap may be processed before the tick.
+  OnTick(aNow);
+  return aNow < mIgnoreUntil;
+}
+
 void
-StateFreshness::OnStoreAnswer(Millis aNow)
+StateFreshness::OnStoreAnswer(Millis aConfirmedAt, Millis aNow)
 {
   mStoreAnswered = true;
-  Confirm(aNow, aNow);
+  Confirm(aConfirmedAt, aNow);
 }
 
 void
--- a/libs/gateway/tests/FollowerElectionTest.cpp
+++ b/libs/gateway/tests/FollowerElectionTest.cpp
@@ -1,5 +1,6 @@
 #include <gateway/FollowerElection.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -146,5 +147,26 @@
   EXPECT_EQ(mNodes["a"].mState, FollowState::Failing);
 }
 
+// Guards against a change that becomes known late because the nodes that
+// replace lost followers have lost the store too, and are tried two at a time.
+TEST(FollowerTakeover, MoreAndMoreNodesTryWhileAChangeCanStillBeInTime)
+{
+  std::vector<FollowerCandidate> nodes;
+  for (const char* name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+    nodes.push_back({ .mNode = name, .mState = FollowState::Failing });
+  }
+  const auto followers = [&](double aOverdue) {
+    return std::count_if(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return FollowerElection().Decide(
+        aNode.mNode, nodes, Millis{ 5000 }, Millis{ aOverdue });
+    });
+  };
+  EXPECT_EQ(followers(0), 4);
+  EXPECT_EQ(followers(100), 6);
+  EXPECT_EQ(followers(200), 8);
+  // Too late for a change: two nodes probe, beside the two that are to follow.
+  EXPECT_EQ(followers(300), 4);
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/gateway/tests/StateFreshnessTest.cpp
+++ b/libs/gateway/tests/StateFreshnessTest.cpp
@@ -27,7 +27,7 @@
 TEST(StateFreshness, RunningNodeServesUntilAChangeArrives)
 {
   StateFreshness freshness({}, {});
-  freshness.OnStoreAnswer(Millis{ 10 });
+  freshness.OnStoreAnswer(Millis{ 10 }, Millis{ 10 });
   EXPECT_EQ(freshness.Doubt(1, Millis{ 10001 }), StateDoubt::None);
   freshness.OnReport(2, {}, 1, Millis{ 10100 });
   EXPECT_EQ(freshness.Doubt(1, Millis{ 10200 }), StateDoubt::None);
@@ -60,7 +60,7 @@
 {
   StateFreshness freshness({ .mStrict = true }, {});
   EXPECT_EQ(freshness.Doubt(1, {}), StateDoubt::Unconfirmed);
-  freshness.OnStoreAnswer({});
+  freshness.OnStoreAnswer({}, {});
   TickUntil(freshness, 0, 5000);
   EXPECT_EQ(freshness.Doubt(1, Millis{ 5000 }), StateDoubt::None);
   EXPECT_EQ(freshness.Doubt(1, Millis{ 5001 }), StateDoubt::Unconfirmed);
@@ -77,12 +77,12 @@
 TEST(StateFreshness, ReportsReadAfterAGapDoNotConfirm)
 {
   StateFreshness freshness({ .mStrict = true }, {});
-  freshness.OnStoreAnswer({});
+  freshness.OnStoreAnswer({}, {});
   freshness.OnReport(1, Millis{ 0 }, 1, Millis{ 20000 });
-  freshness.OnStoreAnswer(Millis{ 20001 });
+  freshness.OnStoreAnswer(Millis{ 20001 }, Millis{ 20001 });
   EXPECT_EQ(freshness.Doubt(1, Millis{ 20002 }), StateDoubt::Unconfirmed);
   TickUntil(freshness, 20100, 21200);
-  freshness.OnStoreAnswer(Millis{ 21200 });
+  freshness.OnStoreAnswer(Millis{ 21200 }, Millis{ 21200 });
   EXPECT_EQ(freshness.Doubt(1, Millis{ 21200 }), StateDoubt::None);
 }
 
@@ -92,7 +92,7 @@
 {
   StateFreshness a({ .mStrict = true }, {});
   StateFreshness b({ .mStrict = true }, {});
-  a.OnStoreAnswer({});
+  a.OnStoreAnswer({}, {});
   for (double time = 500; time <= 8000; time += 500) {
     b.OnReport(1, a.ConfirmedAgo(Millis{ time }), 1, Millis{ time + 150 });
     a.OnReport(1, b.ConfirmedAgo(Millis{ time }), 1, Millis{ time + 150 });
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -245,6 +245,20 @@
   bool operator==(const WithdrawMessage&) const = default;
 };
 
+/** Reports that the store has confirmed to a node of the region that it knows
+ *  all changes of the operator rows. Follows the rows on the same link. */
+struct ConfirmationMessage
+{
+  /** The node to which the store has answered. */
+  std::string mNode;
+  /** How long ago all changes were known there. */
+  Millis mAgo;
+  /** The version of the desired state in force there. */
+  std::uint64_t mStateVersion = 0;
+
+  bool operator==(const ConfirmationMessage&) const = default;
+};
+
 using PeerMessage = std::variant<CallMessage,
                                  ReplyMessage,
                                  CancelMessage,
@@ -261,7 +275,8 @@
                                  EvacuationsMessage,
                                  CapReportMessage,
                                  CapGrantMessage,
-                                 WithdrawMessage>;
+                                 WithdrawMessage,
+                                 ConfirmationMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -28,8 +28,9 @@
    *  and whether they are the whole table, or else only changes. */
   std::function<void(const RowList&, bool aWholeTable)> mOperatorRowsRead;
   /** Called when the store has answered with all changes of the operator rows,
-   *  or that there are none, after they were merged. */
-  std::function<void()> mOperatorRowsMerged;
+   *  or that there are none, after they were merged. Receives the time (of
+   *  BootNow()) up to which the answer contains all changes. */
+  std::function<void(Millis)> mOperatorRowsMerged;
   /** Called with the stored record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecordRead;
   /** Called with rollout progress that was read from or written to the store.
@@ -44,16 +45,16 @@
   std::function<void(const gateway::NodeRecord&)> mOwnRecordRead;
 };
 
+constexpr Millis kOperatorRowsBatchDelay{ 400 };
+
 struct StoreSyncOptions
 {
   std::string mNode;
-  /** How long a follow call may wait at the store for a change. Together with
-   *  the duration of a call it must stay below 3 s, the longest permitted
-   *  delay of a change after an outage of the store. */
-  Millis mFollowWait{ 2200 };
+  /** How long a follow call may wait at the store for a change. */
+  Millis mFollowWait{ 500 };
   /** After a change of the operator rows, the next follow call waits this
    *  long, so that further changes are read together. */
-  Millis mOperatorRowsBatchDelay{ 400 };
+  Millis mOperatorRowsBatchDelay = kOperatorRowsBatchDelay;
   /** The mean period between reads of the nodes' table by a follower; other
    *  nodes read it less often. Nodes also send their changes to each other
    *  directly. */
@@ -113,6 +114,9 @@
    *  in progress. */
   void ReadOperatorRowsOnce();
 
+  /** @return whether this node follows the operator rows. */
+  [[nodiscard]] bool IsFollowing() const { return mFollowing; }
+
   /** @return whether following the operator rows works. */
   [[nodiscard]] gateway::FollowState FollowingState() const;
 
@@ -156,6 +160,8 @@
   void FetchOperatorRows();
   void ReadOperatorRows();
   void FollowOperatorRows();
+  /** Handles that an answer contains all changes up to aAt. */
+  void OnConfirmed(Millis aAt);
   void ReadNodes();
   void WriteRecord();
   void MergeOperatorRows(const RowList& aList, bool aWholeTable);
@@ -181,6 +187,9 @@
   std::uint64_t mOperatorRowsVersion = 0;
   /** The newest operator rows, by key. */
   std::map<std::string, Row> mOperatorRows;
+  /** The time up to which the answers of the store contain all changes of the
+   *  operator rows. */
+  std::optional<Millis> mConfirmedAt;
   bool mFollowing = false;
   /** Whether the last call for the operator rows succeeded. */
   bool mFollowSucceeded = false;
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -45,6 +45,7 @@
   CapReport,
   CapGrant,
   Withdraw,
+  Confirmation,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -454,6 +455,11 @@
                                aValue.mAnswer);
       } else if constexpr (std::is_same_v<Message, WithdrawMessage>) {
         return { MessageType::Withdraw, aValue.mId };
+      } else if constexpr (std::is_same_v<Message, ConfirmationMessage>) {
+        return { MessageType::Confirmation,
+                 aValue.mNode,
+                 aValue.mAgo.WholeMillis(),
+                 aValue.mStateVersion };
       } else {
         return ToJson(aValue);
       }
@@ -537,6 +543,11 @@
       return CapGrantMessage{ .mAnswer = CapAnswerFromJson(aList) };
     case MessageType::Withdraw:
       return WithdrawMessage{ .mId = aList.at(1).get<std::uint64_t>() };
+    case MessageType::Confirmation:
+      return ConfirmationMessage{ .mNode = aList.at(1).get<std::string>(),
+                                  .mAgo = Millis{ aList.at(2).get<double>() },
+                                  .mStateVersion =
+                                    aList.at(3).get<std::uint64_t>() };
   }
   throw json::out_of_range::create(0, "unknown type of message", nullptr);
 }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -177,6 +177,7 @@
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
+        .mFollowWait = mReadSchedule.mWait,
         .mFirstWriteDelay = aSettings.mCheckInPeriod + kCheckInSlack },
       aStore,
       aProtocol.Operator(),
@@ -188,7 +189,7 @@
           [this](const RowList& aList, bool aWholeTable) {
             OnOperatorRowsRead(aList, aWholeTable);
           },
-        .mOperatorRowsMerged = [this] { mFreshness.OnStoreAnswer(BootNow()); },
+        .mOperatorRowsMerged = [this](Millis aAt) { OnStoreConfirmed(aAt); },
         .mRecordRead =
           [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
         .mProgressStored =
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -15,6 +15,7 @@
 #include <gateway/RoutingTable.h>
 #include <gateway/StateFreshness.h>
 #include <gateway/StopSchedule.h>
+#include <gateway/StoreConfirmations.h>
 #include <http/CallerServer.h>
 #include <net/HttpServer.h>
 #include <sidecar/CapAgent.h>
@@ -34,9 +35,6 @@
 /** How often links, loads and rollouts are processed. */
 constexpr Millis kTickPeriod{ 50 };
 
-/** @return the time of a clock that goes on while the host is suspended. */
-Millis BootNow();
-
 /** Which loads of targets were last sent to a group of nodes, and when. */
 struct SentLoads
 {
@@ -51,6 +49,9 @@
   EventLoop& mLoop;
   SidecarSettings mSettings;
   const PlatformProtocol& mProtocol;
+  gateway::ReadSchedule mReadSchedule =
+    gateway::MakeReadSchedule(mSettings.mPropagationLimit,
+                              kOperatorRowsBatchDelay);
   Random mRandom = SeededFromSystem();
   EventLog mLog;
   SidecarMetrics mMetrics;
@@ -106,7 +107,10 @@
   SentLoads mLoadsSentToOtherRegions;
   /** The follow state that each node of the own region last reported. */
   std::map<std::string, gateway::FollowState> mFollowStates;
-  gateway::FollowerElection mFollowerElection;
+  gateway::FollowerElection mFollowerElection{
+    { .mTakeoverTime = mReadSchedule.mTakeoverTime }
+  };
+  gateway::StoreConfirmations mConfirmations{ mReadSchedule };
   /** When this node reads the desired state from the store if it has not
    *  received one from another node by then. */
   Millis mDirectReadAt;
@@ -181,6 +185,22 @@
   [[nodiscard]] bool HasTenants() const;
   /** @return the follow state that this node reports. */
   [[nodiscard]] gateway::FollowState OwnFollowState() const;
+  /** @return the follow state that a node has reported, or Failing if the store
+   *    has not confirmed its rows recently. */
+  [[nodiscard]] gateway::FollowState FollowStateOf(
+    const std::string& aNode) const;
+  /** Handles that the store has confirmed the operator rows of this node, and
+   *  informs the region if this node follows the store.
+   *  @param aAt the time up to which the rows contain all changes. */
+  void OnStoreConfirmed(Millis aAt);
+  void OnConfirmation(LinkId aLink,
+                      const std::string& aFrom,
+                      const ConfirmationMessage& aMessage);
+  /** Queries a node for its operator rows if it has reported a newer desired
+   *  state and this node has not received it in time. */
+  void QueryIfBehind(LinkId aLink,
+                     const std::string& aNode,
+                     std::uint64_t aVersion);
   /** @return whether other nodes of the data centre must follow the store
    *    because it answers none of the link nodes, which usually do. */
   [[nodiscard]] bool LinkNodesFail(Millis aNow) const;
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -378,15 +378,10 @@
   std::vector<gateway::FollowerCandidate> candidates;
   candidates.reserve(followers.size());
   for (const std::string& node : followers) {
-    const auto state = mFollowStates.find(node);
-    candidates.push_back(
-      { .mNode = node,
-        .mState = node == mSettings.mName        ? mSync.FollowingState()
-                  : state == mFollowStates.end() ? gateway::FollowState::Idle
-                                                 : state->second });
+    candidates.push_back({ .mNode = node, .mState = FollowStateOf(node) });
   }
-  mSync.SetFollowing(
-    mFollowerElection.Decide(mSettings.mName, candidates, aNow));
+  mSync.SetFollowing(mFollowerElection.Decide(
+    mSettings.mName, candidates, aNow, mConfirmations.OverdueFor(BootNow())));
 }
 
 } // namespace papayaway::sidecar
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -97,6 +97,9 @@
   } else if (const auto* const withdraw =
                std::get_if<WithdrawMessage>(&aMessage)) {
     OnWithdraw(aLink, *withdraw);
+  } else if (const auto* const confirmation =
+               std::get_if<ConfirmationMessage>(&aMessage)) {
+    OnConfirmation(aLink, aNode, *confirmation);
   }
 }
 
@@ -221,22 +224,33 @@
   if (InOwnRegion(aNode)) {
     const auto before =
       std::exchange(mFollowStates[aNode], aMessage.mFollowState);
+    if (aMessage.mFollowState == gateway::FollowState::Working) {
+      mConfirmations.OnReader(aNode, BootNow());
+    }
     if (before != aMessage.mFollowState &&
         aMessage.mFollowState == gateway::FollowState::Working) {
       mSync.OnStoreRecovered();
     }
   }
-  const std::uint64_t own = StateVersion();
   mFreshness.OnReport(
-    aMessage.mStateVersion, aMessage.mConfirmedAgo, own, BootNow());
-  if (aMessage.mStateVersion <= own) {
+    aMessage.mStateVersion, aMessage.mConfirmedAgo, StateVersion(), BootNow());
+  QueryIfBehind(aLink, aNode, aMessage.mStateVersion);
+}
+
+void
+Sidecar::Impl::QueryIfBehind(LinkId aLink,
+                             const std::string& aNode,
+                             std::uint64_t aVersion)
+{
+  const std::uint64_t own = StateVersion();
+  if (aVersion <= own) {
     return;
   }
   const Millis now = SteadyNow();
   if (own >= mMissingVersion) {
     // The version that this node lacked before is in force by now, so the delay
     // starts anew.
-    mMissingVersion = aMessage.mStateVersion;
+    mMissingVersion = aVersion;
     mMissingSince = now;
   }
   const Millis delay = own == 0                 ? Millis{}
--- a/libs/sidecar/src/SidecarTenants.cpp
+++ b/libs/sidecar/src/SidecarTenants.cpp
@@ -1,20 +1,12 @@
-// Sidecar: whether the desired state in force is new enough to accept tenants.
+// Sidecar: whether the store has confirmed what this node knows, and whether
+// the desired state in force is new enough to accept tenants.
 
-#include <ctime>
+#include <algorithm>
 
 #include "SidecarImpl.h"
 
 namespace papayaway::sidecar {
 
-Millis
-BootNow()
-{
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return Seconds(static_cast<double>(time.tv_sec)) +
-         Millis{ static_cast<double>(time.tv_nsec) / 1e6 };
-}
-
 std::uint64_t
 Sidecar::Impl::StateVersion() const
 {
@@ -34,25 +26,82 @@
   // take it for one that will.
   return HasTenants() && !mSync.NodesRead() && !mSync.StoreAvailable()
            ? gateway::FollowState::Failing
-           : mSync.FollowingState();
+           : FollowStateOf(mSettings.mName);
+}
+
+gateway::FollowState
+Sidecar::Impl::FollowStateOf(const std::string& aNode) const
+{
+  const auto found = mFollowStates.find(aNode);
+  const gateway::FollowState reported =
+    aNode == mSettings.mName       ? mSync.FollowingState()
+    : found == mFollowStates.end() ? gateway::FollowState::Idle
+                                   : found->second;
+  // A call that waits at the store fails long after the store was lost.
+  return reported == gateway::FollowState::Working &&
+             !mConfirmations.IsConfirmed(aNode, BootNow())
+           ? gateway::FollowState::Failing
+           : reported;
+}
+
+void
+Sidecar::Impl::OnStoreConfirmed(Millis aAt)
+{
+  const Millis now = BootNow();
+  mFreshness.OnStoreAnswer(aAt, now);
+  mConfirmations.OnConfirmed(mSettings.mName, aAt, now);
+  if (!mSync.IsFollowing()) {
+    return;
+  }
+  const ConfirmationMessage message{ .mNode = mSettings.mName,
+                                     .mAgo = now - aAt,
+                                     .mStateVersion = StateVersion() };
+  SendInDataCentre(message);
+  for (const std::string& dataCentre : mTopology.OtherDataCentres(false)) {
+    SendToLinkNodes(dataCentre, message);
+  }
+}
+
+void
+Sidecar::Impl::OnConfirmation(LinkId aLink,
+                              const std::string& aFrom,
+                              const ConfirmationMessage& aMessage)
+{
+  const Millis now = BootNow();
+  if (mFreshness.IgnoresReports(now) || !InOwnRegion(aMessage.mNode)) {
+    return;
+  }
+  if (mConfirmations.OnConfirmed(
+        aMessage.mNode, now - std::max(Millis{}, aMessage.mAgo), now) &&
+      !InOwnDataCentre(aFrom)) {
+    SendInDataCentre(aMessage);
+  }
+  QueryIfBehind(aLink, aFrom, aMessage.mStateVersion);
 }
 
 bool
 Sidecar::Impl::LinkNodesFail(Millis aNow) const
 {
-  if (!HasTenants() || mTopology.IsLinkNode()) {
+  if (mTopology.IsLinkNode()) {
+    return false;
+  }
+  const std::optional<Millis> overdueFor = mConfirmations.OverdueFor(BootNow());
+  if (overdueFor && *overdueFor >= mReadSchedule.mTakeoverTime * 0.5) {
+    return true;
+  }
+  if (!HasTenants()) {
     return false;
   }
   bool failing = false;
   for (const std::string& node : mTopology.LinkNodes(mSettings.mDataCentre)) {
-    const auto state = mFollowStates.find(node);
-    if (state == mFollowStates.end() || !mMesh.Reachable(node, aNow)) {
+    if (!mFollowStates.contains(node) || !mMesh.Reachable(node, aNow)) {
       continue;
     }
-    if (state->second == gateway::FollowState::Working) {
+    const gateway::FollowState state = FollowStateOf(node);
+    if (state == gateway::FollowState::Working) {
       return false;
     }
-    failing = failing || state->second == gateway::FollowState::Failing;
+    failing = failing || state == gateway::FollowState::Failing;
   }
   return failing;
 }
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -102,9 +102,15 @@
   // At each tick: until a crash is reported, its request can crash the next
   // process of the target.
   mCrashes.OnTick(now, WallNow());
-  if (now - mLastLoadCheck >= kLoadPeriod) {
-    mLastLoadCheck = now;
+  const std::optional<Millis> overdueFor = mConfirmations.OverdueFor(BootNow());
+  const bool takeover =
+    overdueFor && *overdueFor < mReadSchedule.mTakeoverTime + kLoadPeriod;
+  const bool loadDue = now - mLastLoadCheck >= kLoadPeriod;
+  if (takeover || loadDue) {
     UpdateFollowerRole(now);
+  }
+  if (loadDue) {
+    mLastLoadCheck = now;
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -110,6 +110,9 @@
     return;
   }
   mFollowing = aFollowing;
+  // The first call returns at once, so that the other nodes soon know whether
+  // this one reaches the store.
+  mConfirmedAt.reset();
   mFollowSucceeded = false;
   mFollowFailed = false;
   mLog.WriteStateChange("store", "following", { { "follows", aFollowing } });
@@ -193,10 +196,18 @@
   }
 }
 
+void
+StoreSync::OnConfirmed(Millis aAt)
+{
+  mConfirmedAt = std::max(mConfirmedAt.value_or(aAt), aAt);
+  mHandlers.mOperatorRowsMerged(aAt);
+}
+
 void
 StoreSync::ReadOperatorRows()
 {
-  mStore.Read(mNames.mOperatorTable, [this](Result aResult) {
+  const Millis sentAt = BootNow();
+  mStore.Read(mNames.mOperatorTable, [this, sentAt](Result aResult) {
     OnStoreResult("read_orders", aResult);
     mFetchingOperatorRows = false;
     mFollowSucceeded = aResult.has_value();
@@ -207,7 +218,7 @@
     }
     mOperatorRowsRead = true;
     MergeOperatorRows(*aResult, true);
-    mHandlers.mOperatorRowsMerged();
+    OnConfirmed(sentAt);
     FetchOperatorRows();
   });
 }
@@ -215,11 +226,18 @@
 void
 StoreSync::FollowOperatorRows()
 {
+  const Millis sentAt = BootNow();
+  // Confirmations come at regular times, also after changes.
+  const Millis wait =
+    mConfirmedAt ? std::clamp(*mConfirmedAt + mOptions.mFollowWait - sentAt,
+                              Millis{},
+                              mOptions.mFollowWait)
+                 : Millis{};
   mStore.Follow(
     mNames.mOperatorTable,
     mOperatorRowsVersion,
-    mOptions.mFollowWait,
-    [this](Result aResult) {
+    wait,
+    [this, sentAt, wait](Result aResult) {
       OnStoreResult("follow_orders", aResult);
       mFetchingOperatorRows = false;
       if (!aResult) {
@@ -238,7 +256,10 @@
       mFollowSucceeded = true;
       mFollowFailed = false;
       MergeOperatorRows(*aResult, false);
-      mHandlers.mOperatorRowsMerged();
+      // The answer may have been delayed on its way, so the time of its arrival
+      // confirms nothing. The store sends an empty one after the wait.
+      OnConfirmed(aResult->mRows.empty() ? std::min(sentAt + wait, BootNow())
+                                         : sentAt);
       mOperatorRowsTimer.StartOnce(aResult->mRows.empty()
                                      ? Millis{ 1 }
                                      : mOptions.mOperatorRowsBatchDelay);
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -67,6 +67,8 @@
                      .mGrant = { .mTokens = 5, .mWait = Millis{ 40 } },
                      .mValidFor = Millis{ 350 } } } } });
   ExpectRoundTrip(WithdrawMessage{ .mId = 9 });
+  ExpectRoundTrip(ConfirmationMessage{
+    .mNode = "n", .mAgo = Millis{ 20 }, .mStateVersion = 4 });
   ExpectRoundTrip(
     LoadMessage{ .mStateVersion = 7, .mConfirmedAgo = Millis{ 1234 } });
   ExpectRoundTrip(LoadMessage{ .mLoad = kReply.mLoad,
