Acknowledge a leave when it outlasts the process

Callers saw: requests at a target 7 to 14 s after its leave was acknowledged. Cause: the leave was acknowledged when only the process knew of it for certain. The other nodes had a copy that they did not return and that the record of the next process replaced; and that process decided on check-ins before it could know. Evidence: logs of the case: write_record fails after the 200; node_seen with the draining target at all nodes; target_state ready while read_nodes still fails. Change: records list the targets that have left and are merged, never replaced; a leave is acknowledged when the store or two other nodes have the record; nodes tell a process that starts what they know of earlier ones, and until it knows it uses no ready check-in.

--- a/libs/gateway/include/gateway/NodeRecord.h
+++ b/libs/gateway/include/gateway/NodeRecord.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
+
+#include <base/Millis.h>
 
 namespace papayaway::gateway {
 
@@ -27,6 +31,27 @@
   bool operator==(const TargetInfo&) const = default;
 };
 
+/** A target that has announced to its node that it leaves. */
+struct LeftTarget
+{
+  std::string mId;
+  /** Check-ins of processes of this target that started then or before have no
+   *  effect any more; by the wall clock. */
+  Millis mStartedUntil;
+
+  bool operator==(const LeftTarget&) const = default;
+};
+
+/** A record has only the newest ones. Check-ins are late by seconds, and a host
+ *  has few targets in succession. */
+constexpr std::size_t kMaxLeftTargets = 16;
+
+/** Adds targets to those that are known to have left, each once, and removes
+ *  the oldest ones above kMaxLeftTargets.
+ *  @return whether aKnown has changed. */
+bool MergeLeftTargets(std::vector<LeftTarget>& aKnown,
+                      const std::vector<LeftTarget>& aMore);
+
 /** The record that a node publishes about itself and its local target. */
 struct NodeRecord
 {
@@ -43,6 +68,9 @@
   bool mLeaving = false;
   /** The target on the same host, if the node knows one. */
   std::optional<TargetInfo> mTarget;
+  /** The targets that have left, also those that an earlier process of the node
+   *  knew, by ascending mStartedUntil. */
+  std::vector<LeftTarget> mLeft;
 
   bool operator==(const NodeRecord&) const = default;
 
--- a/libs/gateway/src/NodeDirectory.cpp
+++ b/libs/gateway/src/NodeDirectory.cpp
@@ -1,5 +1,8 @@
 #include <gateway/NodeDirectory.h>
 
+#include <utility>
+#include <vector>
+
 namespace papayaway::gateway {
 
 namespace {
@@ -50,7 +53,11 @@
     ++mMembershipVersion;
   }
   RemoveFromGroups(record);
+  std::vector<LeftTarget> left = std::move(record.mLeft);
   record = aRecord;
+  // A process that has just started doesn't know what earlier ones
+  // acknowledged.
+  MergeLeftTargets(record.mLeft, left);
   AddToGroups(record);
   return true;
 }
--- a/libs/sidecar/include/sidecar/LocalTargetProxy.h
+++ b/libs/sidecar/include/sidecar/LocalTargetProxy.h
@@ -133,11 +133,21 @@
    *  To be called periodically if UsesPace(). */
   void OnPeers(std::span<const gateway::TargetCandidate> aPeers);
 
-  /** Handles the announcement that the target leaves, also one that an earlier
-   *  process of this node has received. From then on, check-ins that this
-   *  target process sends are ignored. */
+  /** Handles the announcement that the target leaves. From then on, check-ins
+   *  in which this target process is ready are ignored. */
   void OnLeave(const std::string& aTargetId);
 
+  /** Handles announcements that an earlier process of this node has
+   *  received. */
+  void OnLeftTargets(const std::vector<gateway::LeftTarget>& aLeft);
+
+  /** @return the targets that have left, as published in the record of this
+   *    node. */
+  [[nodiscard]] const std::vector<gateway::LeftTarget>& LeftTargets() const
+  {
+    return mLeftTargets;
+  }
+
   /** Queues a request for the target. Unless the call is cancelled, aCallback
    *  runs exactly once, possibly before Serve() returns.
    *  @return an id for Cancel(). Ids are never reused. */
@@ -226,6 +236,9 @@
     bool mSentToTarget = false;
   };
 
+  /** @return the target's known process, or any one that has started by now,
+   *    as one that leaves. */
+  [[nodiscard]] gateway::LeftTarget AsLeft(const std::string& aTargetId) const;
   /** @return whether the target process that sent the check-in has
    *    announced that it leaves. */
   [[nodiscard]] bool HasLeft(const CheckIn& aCheckIn) const;
@@ -304,9 +317,7 @@
   /** Whether it was decided for this process of the target whether it is paced
    *  from its start. */
   bool mPaceDecided = false;
-  /** The ids of targets that have left, with the wall-clock time of the
-   *  announcement. */
-  std::map<std::string, Millis> mLeftTargets;
+  std::vector<gateway::LeftTarget> mLeftTargets;
   CallId mNextId = 1;
   std::map<CallId, ActiveCall> mActiveCalls;
   std::set<std::pair<Millis, CallId>> mDeadlines;
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <base/Error.h>
 #include <base/Millis.h>
@@ -142,6 +143,26 @@
   bool operator==(const RecordMessage&) const = default;
 };
 
+/** Answers the record that a node has sent of itself, if that has targets that
+ *  have left: the sender keeps it. */
+struct RecordCopiedMessage
+{
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+
+  bool operator==(const RecordCopiedMessage&) const = default;
+};
+
+/** Tells a node which of its targets have left, as far as the sender knows.
+ * Only sent by nodes that know what earlier processes of all nodes have
+ *  published. */
+struct LeftTargetsMessage
+{
+  std::vector<gateway::LeftTarget> mLeft;
+
+  bool operator==(const LeftTargetsMessage&) const = default;
+};
+
 /** Run counts by service, version and route, on which rollout decisions are
  *  based. */
 struct EvidenceMessage
@@ -276,7 +297,9 @@
                                  CapReportMessage,
                                  CapGrantMessage,
                                  WithdrawMessage,
-                                 ConfirmationMessage>;
+                                 ConfirmationMessage,
+                                 RecordCopiedMessage,
+                                 LeftTargetsMessage>;
 
 /** @return the message as CBOR. */
 std::string EncodeMessage(const PeerMessage& aMessage);
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <base/Millis.h>
 #include <base/Random.h>
@@ -43,6 +44,11 @@
   /** Called with the stored record of this node, which may be of another
    *  incarnation than that of this process. */
   std::function<void(const gateway::NodeRecord&)> mOwnRecordRead;
+  /** Called with the sequence number of the record of this process that the
+   *  store has. */
+  std::function<void(std::uint64_t)> mRecordStored;
+  /** Called when a write of the record has failed. */
+  std::function<void()> mRecordNotStored;
 };
 
 constexpr Millis kOperatorRowsBatchDelay{ 400 };
@@ -74,6 +80,8 @@
   /** The delay between attempts to write the record. It is long because many
    *  nodes may retry at once; OnStoreRecovered() shortens it. */
   Millis mRecordRetryDelay{ 4000 };
+  /** That delay for a record that must be written at once. */
+  Millis mUrgentRetryDelay{ 1000 };
   /** When the store answers again, nodes write their records at random times
    *  within this period. */
   Millis mRecoveryJitter{ 500 };
@@ -134,6 +142,14 @@
    *  @param aAtOnce whether to write without waiting for further changes. */
   void PublishRecord(bool aAtOnce);
 
+  /** @return whether the stored record of this node has these targets that have
+   *    left. */
+  [[nodiscard]] bool HasStored(
+    const std::vector<gateway::LeftTarget>& aLeft) const
+  {
+    return mStoredRecord ? mStoredRecord->mLeft == aLeft : aLeft.empty();
+  }
+
   /** Called when a linked node has reported that the store answers again. */
   void OnStoreRecovered();
 
--- a/libs/sidecar/src/LocalTargetProxyState.cpp
+++ b/libs/sidecar/src/LocalTargetProxyState.cpp
@@ -16,9 +16,6 @@
 
 /** The maximum difference between the clocks of a target and its host. */
 constexpr Millis kMaxClockDifference = Seconds(3600);
-/** The maximum number of targets remembered as having left; all are forgotten
- *  when it is reached. A host has few targets in succession. */
-constexpr std::size_t kMaxLeftTargets = 100;
 /** How long after a lost connection the target is probed: a process that ends
  *  closes its connections and its listener together, but not at one instant. */
 constexpr Millis kProbeDelay{ 20 };
@@ -64,7 +61,8 @@
                                        aCheckIn.mStarted < mTargetStarted);
   const bool foreign = aCheckIn.mAddress != mOptions.mAddress ||
                        aCheckIn.mTarget.mService != mOptions.mService;
-  const bool left = HasLeft(aCheckIn);
+  const bool left =
+    aCheckIn.mTarget.mState == TargetState::Ready && HasLeft(aCheckIn);
   // Accepting such a start time would make the true check-ins seem late.
   const bool future = aCheckIn.mStarted > WallNow() + kMaxClockDifference;
   if (late || foreign || left || future) {
@@ -124,30 +122,57 @@
   mTarget = target;
   mQueue.SetSlots(target.mSlots);
   DecidePace();
+  if (target.mState == TargetState::Draining) {
+    MergeLeftTargets(mLeftTargets, { AsLeft(target.mId) });
+  }
   SetState(target.mState, "check-in");
   return true;
 }
 
+gateway::LeftTarget
+LocalTargetProxy::AsLeft(const std::string& aTargetId) const
+{
+  const bool known =
+    mTarget && mTarget->mId == aTargetId && mTargetStarted.mCount > 0;
+  return { .mId = aTargetId,
+           .mStartedUntil = known ? mTargetStarted : WallNow() };
+}
+
 void
 LocalTargetProxy::OnLeave(const std::string& aTargetId)
 {
   // Stored even if the target is still unknown to this process: a check-in sent
   // before the announcement must not make it ready again.
-  if (mLeftTargets.size() >= kMaxLeftTargets) {
-    mLeftTargets.clear();
+  OnLeftTargets({ AsLeft(aTargetId) });
+}
+
+void
+LocalTargetProxy::OnLeftTargets(const std::vector<gateway::LeftTarget>& aLeft)
+{
+  if (!MergeLeftTargets(mLeftTargets, aLeft)) {
+    return;
   }
-  mLeftTargets[aTargetId] = WallNow();
-  if (mTarget && mTarget->mId == aTargetId) {
+  const bool targetLeft =
+    mTarget && std::any_of(aLeft.begin(), aLeft.end(), [&](const auto& aEntry) {
+      return aEntry.mId == mTarget->mId &&
+             mTargetStarted <= aEntry.mStartedUntil;
+    });
+  if (targetLeft && mTarget->mState != TargetState::Draining) {
     SetState(TargetState::Draining, "left");
+  } else {
+    mHandlers.mStateChanged();
   }
 }
 
 bool
 LocalTargetProxy::HasLeft(const CheckIn& aCheckIn) const
 {
-  const auto left = mLeftTargets.find(aCheckIn.mTarget.mId);
   // Compares times because a restarted target may use the same id.
-  return left != mLeftTargets.end() && aCheckIn.mStarted <= left->second;
+  return std::any_of(
+    mLeftTargets.begin(), mLeftTargets.end(), [&](const auto& aEntry) {
+      return aEntry.mId == aCheckIn.mTarget.mId &&
+             aCheckIn.mStarted <= aEntry.mStartedUntil;
+    });
 }
 
 void
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -46,6 +46,8 @@
   CapGrant,
   Withdraw,
   Confirmation,
+  RecordCopied,
+  LeftTargets,
 };
 
 constexpr int kMaxSlots = 100000;
@@ -136,6 +138,30 @@
   return load;
 }
 
+json
+ToJson(const std::vector<gateway::LeftTarget>& aTargets)
+{
+  json list = json::array();
+  for (const gateway::LeftTarget& target : aTargets) {
+    list.push_back(json{ target.mId, target.mStartedUntil.WholeMillis() });
+  }
+  return list;
+}
+
+std::vector<gateway::LeftTarget>
+LeftTargetsFromJson(const json& aList)
+{
+  std::vector<gateway::LeftTarget> targets;
+  for (const json& entry : aList) {
+    targets.push_back({ .mId = entry.at(0).get<std::string>(),
+                        .mStartedUntil = Millis{ entry.at(1).get<double>() } });
+  }
+  if (targets.size() > gateway::kMaxLeftTargets) {
+    throw json::out_of_range::create(0, "too many left targets", nullptr);
+  }
+  return targets;
+}
+
 json
 ToJson(const NodeRecord& aRecord)
 {
@@ -149,6 +175,11 @@
                            target.mVersion,
                            target.mSlots,
                            static_cast<int>(target.mState) });
+  } else if (!aRecord.mLeft.empty()) {
+    record.push_back(nullptr);
+  }
+  if (!aRecord.mLeft.empty()) {
+    record.push_back(ToJson(aRecord.mLeft));
   }
   return record;
 }
@@ -163,7 +194,10 @@
                      .mIncarnation = aList.at(4).get<std::uint64_t>(),
                      .mSequence = aList.at(5).get<std::uint64_t>(),
                      .mLeaving = aList.at(6).get<bool>() };
-  if (aList.size() > 7) {
+  if (aList.size() > 8) {
+    record.mLeft = LeftTargetsFromJson(aList.at(8));
+  }
+  if (aList.size() > 7 && !aList.at(7).is_null()) {
     const json& target = aList.at(7);
     record.mTarget =
       TargetInfo{ .mId = target.at(0).get<std::string>(),
@@ -455,6 +489,12 @@
                                aValue.mAnswer);
       } else if constexpr (std::is_same_v<Message, WithdrawMessage>) {
         return { MessageType::Withdraw, aValue.mId };
+      } else if constexpr (std::is_same_v<Message, RecordCopiedMessage>) {
+        return { MessageType::RecordCopied,
+                 aValue.mIncarnation,
+                 aValue.mSequence };
+      } else if constexpr (std::is_same_v<Message, LeftTargetsMessage>) {
+        return { MessageType::LeftTargets, ToJson(aValue.mLeft) };
       } else if constexpr (std::is_same_v<Message, ConfirmationMessage>) {
         return { MessageType::Confirmation,
                  aValue.mNode,
@@ -543,6 +583,13 @@
       return CapGrantMessage{ .mAnswer = CapAnswerFromJson(aList) };
     case MessageType::Withdraw:
       return WithdrawMessage{ .mId = aList.at(1).get<std::uint64_t>() };
+    case MessageType::RecordCopied:
+      return RecordCopiedMessage{ .mIncarnation =
+                                    aList.at(1).get<std::uint64_t>(),
+                                  .mSequence =
+                                    aList.at(2).get<std::uint64_t>() };
+    case MessageType::LeftTargets:
+      return LeftTargetsMessage{ .mLeft = LeftTargetsFromJson(aList.at(1)) };
     case MessageType::Confirmation:
       return ConfirmationMessage{ .mNode = aList.at(1).get<std::string>(),
                                   .mAgo = Millis{ aList.at(2).get<double>() },
@@ -623,7 +670,12 @@
     (!target->mId.empty() && target->mSlots > 0 &&
      target->mSlots <= kMaxSlots && target->mState >= TargetState::Ready &&
      target->mState <= TargetState::Gone);
-  return !aRecord.mNode.empty() && ParseAddress(aRecord.mPeerAddress) &&
+  const bool leftIsPlausible =
+    std::none_of(aRecord.mLeft.begin(),
+                 aRecord.mLeft.end(),
+                 [](const auto& aTarget) { return aTarget.mId.empty(); });
+  return !aRecord.mNode.empty() && leftIsPlausible &&
+         ParseAddress(aRecord.mPeerAddress) &&
          aRecord.mIncarnation <= kMaxCount && aRecord.mSequence <= kMaxCount &&
          targetIsPlausible;
 }
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -196,10 +196,17 @@
           [this](const gateway::RolloutProgress& aProgress) {
             mRollouts.OnStoredProgress(aProgress);
           },
-        .mNodesRead = [this] { UpdateFollowerRole(SteadyNow()); },
+        .mNodesRead =
+          [this] {
+            OnLeftTargetsKnown();
+            UpdateFollowerRole(SteadyNow());
+          },
         .mOwnRecord = [this] { return OwnRecord(); },
         .mOwnRecordRead =
-          [this](const NodeRecord& aRecord) { OnOwnRecordReceived(aRecord); } },
+          [this](const NodeRecord& aRecord) { OnOwnRecordReceived(aRecord); },
+        .mRecordStored =
+          [this](std::uint64_t aSequence) { mLeaves.OnStored(aSequence); },
+        .mRecordNotStored = [this] { mLeaves.OnStoreFailed(); } },
       mLog,
       mMetrics,
       mRandom)
@@ -290,36 +297,40 @@
            .mIncarnation = mIncarnation,
            .mSequence = mSequence,
            .mLeaving = mStop.has_value(),
-           .mTarget = mLocalTarget.Target() };
+           .mTarget = mLocalTarget.Target(),
+           .mLeft = mLocalTarget.LeftTargets() };
 }
 
 void
 Sidecar::Impl::PublishRecord()
 {
   ++mSequence;
+  const std::vector<gateway::LeftTarget>& left = mLocalTarget.LeftTargets();
+  const bool unsavedLeave = left != mPublishedLeft && !mSync.HasStored(left);
+  mPublishedLeft = left;
+  if (unsavedLeave) {
+    mLeftSequence = mSequence;
+  }
   OnRecord(OwnRecord(), mSettings.mName);
   mMesh.Broadcast(RecordMessage{ OwnRecord() });
   const auto& target = mLocalTarget.Target();
   const bool targetLeaves =
     target && target->mState != gateway::TargetState::Ready;
-  if (mStop && !targetLeaves) {
+  if ((mStop || !target) && !targetLeaves && !unsavedLeave) {
     // The next process starts beside the same target, so the stored record
     // stays valid. The broadcast tells the other nodes that this process stops.
+    // A process without a target writes its record when that has checked in.
     return;
   }
   // If this process restarts, the next one must learn from the store that the
   // target is leaving, so that change is written without delay.
-  mSync.PublishRecord(targetLeaves);
+  mSync.PublishRecord(targetLeaves || unsavedLeave);
 }
 
 void
 Sidecar::Impl::OnOwnRecordReceived(const NodeRecord& aRecord)
 {
-  if (aRecord.mIncarnation != mIncarnation && aRecord.mTarget &&
-      aRecord.mTarget->mState == gateway::TargetState::Draining) {
-    // An earlier process of this node was told that the target leaves.
-    mLocalTarget.OnLeave(aRecord.mTarget->mId);
-  }
+  mLocalTarget.OnLeftTargets(aRecord.mLeft);
   // If an earlier process ran with a clock that was ahead, its record would
   // supersede the record of this process, which needs a higher incarnation.
   if (aRecord.mIncarnation > mIncarnation ||
@@ -374,11 +385,11 @@
       aExchange->Respond({ .mStatus = Ready() ? 200 : 503 });
       return;
     case AdminOperation::CheckIn:
-      OnCheckIn(*aExchange, route.mTargetId);
+      OnCheckIn(aExchange, route.mTargetId);
       return;
     case AdminOperation::Leave:
       mLocalTarget.OnLeave(route.mTargetId);
-      aExchange->Respond(JsonResponse(200, "{}"));
+      RespondWhenKept(aExchange, route.mTargetId);
       return;
     case AdminOperation::None:
       break;
@@ -386,28 +397,6 @@
   aExchange->Respond({ .mStatus = 404 });
 }
 
-void
-Sidecar::Impl::OnCheckIn(HttpExchange& aExchange, const std::string& aTargetId)
-{
-  const Expected<CheckIn> checkIn =
-    mProtocol.DecodeCheckIn(aTargetId, aExchange.Request().mBody);
-  if (checkIn) {
-    const bool accepted = mLocalTarget.OnCheckIn(*checkIn);
-    mMetrics.OnCheckIn(accepted ? "accepted" : "not_of_this_target");
-    aExchange.Respond(JsonResponse(accepted ? 200 : 400, "{}"));
-    return;
-  }
-  mMetrics.mBadInput.Increment();
-  mMetrics.OnCheckIn("unreadable");
-  if (mLog.ShouldWrite("bad_check_in", EventLog::Category::Failure)) {
-    mLog.Write(
-      "target",
-      "bad_check_in",
-      { { "target", aTargetId }, { "reason", checkIn.error().mMessage } });
-  }
-  aExchange.Respond({ .mStatus = 400 });
-}
-
 bool
 Sidecar::Impl::Ready() const
 {
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -2,6 +2,7 @@
 
 #include <sidecar/Sidecar.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <utility>
 
 #include <base/Random.h>
+#include <gateway/LeaveAcknowledgements.h>
 #include <gateway/LinkTopology.h>
 #include <gateway/LoadReportFilter.h>
 #include <gateway/PackedText.h>
@@ -124,6 +126,23 @@
   /** The incarnation and the sequence number of this node's record. */
   std::uint64_t mIncarnation;
   std::uint64_t mSequence = 1;
+  gateway::LeaveAcknowledgements mLeaves;
+  /** The targets that have left by the record that was published last. */
+  std::vector<gateway::LeftTarget> mPublishedLeft;
+  /** The sequence number of the first record that has them; 0 if an earlier
+   *  process has stored them. */
+  std::uint64_t mLeftSequence = 0;
+  /** Whether the store or another node has told which targets have left, or
+   *  none has because the system starts for the first time. */
+  bool mKnowsLeftTargets = mSettings.mFirstStart;
+  struct HeldCheckIn
+  {
+    std::shared_ptr<HttpExchange> mExchange;
+    CheckIn mCheckIn;
+    Millis mSince;
+  };
+  /** The check-ins that came before that, in the order of their arrival. */
+  std::deque<HeldCheckIn> mHeldCheckIns;
   /** Decides when the local target's load is sent again within the data
    *  centre. */
   gateway::LoadReportFilter mLoadFilter;
@@ -224,7 +243,22 @@
               const std::string& aNode,
               const LoadMessage& aMessage);
   void OnAdmin(const std::shared_ptr<HttpExchange>& aExchange);
-  void OnCheckIn(HttpExchange& aExchange, const std::string& aTargetId);
+  void OnCheckIn(const std::shared_ptr<HttpExchange>& aExchange,
+                 const std::string& aTargetId);
+  void ApplyCheckIn(const std::shared_ptr<HttpExchange>& aExchange,
+                    const CheckIn& aCheckIn);
+  /** Refuses the check-ins that have waited for too long. */
+  void RefuseHeldCheckIns(Millis aNow);
+  /** Acknowledges that a target leaves as soon as that outlasts this
+   *  process. */
+  void RespondWhenKept(const std::shared_ptr<HttpExchange>& aExchange,
+                       const std::string& aTargetId);
+  /** Handles that this node knows which of its targets have left. */
+  void OnLeftTargetsKnown();
+  void OnLeftTargets(const LeftTargetsMessage& aMessage);
+  /** Tells a node that has sent its record that this node keeps it, and what is
+   *  known here of earlier processes of that node. */
+  void AnswerRecord(LinkId aLink, const gateway::NodeRecord& aRecord);
   [[nodiscard]] bool Ready() const;
   void Tick();
   [[nodiscard]] LoadMessage OwnLoad() const;
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -47,6 +47,7 @@
       // Tells a node that has just started which version of the desired state
       // is in force here.
       mMesh.Reply(aLink, OwnLoad());
+      AnswerRecord(aLink, record->mRecord);
       if (auto quarantined = mCrashes.Quarantined();
           !quarantined.mFacts.empty()) {
         mMesh.Reply(aLink, std::move(quarantined));
@@ -100,6 +101,14 @@
   } else if (const auto* const confirmation =
                std::get_if<ConfirmationMessage>(&aMessage)) {
     OnConfirmation(aLink, aNode, *confirmation);
+  } else if (const auto* const copied =
+               std::get_if<RecordCopiedMessage>(&aMessage)) {
+    if (copied->mIncarnation == mIncarnation) {
+      mLeaves.OnCopied(aNode, copied->mSequence);
+    }
+  } else if (const auto* const left =
+               std::get_if<LeftTargetsMessage>(&aMessage)) {
+    OnLeftTargets(*left);
   }
 }
 
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -98,6 +98,8 @@
   mFreshness.OnTick(BootNow());
   mMesh.Tick(now);
   mCaps.Tick();
+  mLeaves.OnTick(now);
+  RefuseHeldCheckIns(now);
   mTargets.OnLoad(mSettings.mName, mLocalTarget.Load());
   // At each tick: until a crash is reported, its request can crash the next
   // process of the target.
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -378,23 +378,25 @@
   if (mStoredRecord && mStoredRecord->HasSameContent(record)) {
     // Nothing to write, for instance because this process has restarted and
     // the target has not changed.
+    mHandlers.mRecordStored(record.mSequence);
     return;
   }
   mWritingRecord = true;
-  mWriteAtOnce = false;
+  const bool urgent = std::exchange(mWriteAtOnce, false);
   const std::string key = std::string(kNodePrefix) + mOptions.mNode;
   StoreChange change;
   change.mConditions.push_back(
     { .mTable = kNodesTable, .mKey = key, .mVersion = mRowVersions[key] });
   change.mWrites.push_back(
     { .mTable = kNodesTable, .mKey = key, .mValue = EncodeRecord(record) });
-  mStore.Commit(change, [this, key, record](Result aResult) {
+  mStore.Commit(change, [this, key, record, urgent](Result aResult) {
     OnStoreResult("write_record", aResult);
     mWritingRecord = false;
     mStoredRecord.reset();
     if (aResult) {
       mStoredRecord = record;
       mRowVersions[key] = std::max(mRowVersions[key], aResult->mVersion);
+      mHandlers.mRecordStored(record.mSequence);
       if (!mReadSinceWrite) {
         mReadSinceWrite = true;
         ReadNodes();
@@ -407,12 +409,15 @@
       return;
     }
     mRecordChanged = true;
+    mWriteAtOnce = mWriteAtOnce || urgent;
+    mHandlers.mRecordNotStored();
     if (aResult.error().mFailure == StoreFailure::Conflict ||
         aResult.error().mFailure == StoreFailure::OutcomeUnknown) {
       mNodesTimer.StartOnce(RetryDelay(mOptions.mMaxRetryDelay));
     } else {
-      mRecordTimer.StartOnce(mOptions.mRecordRetryDelay *
-                             (0.5 + 0.5 * UniformFraction(mRandom)));
+      mRecordTimer.StartOnce(
+        (urgent ? mOptions.mUrgentRetryDelay : mOptions.mRecordRetryDelay) *
+        (0.5 + 0.5 * UniformFraction(mRandom)));
     }
   });
 }
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -91,6 +91,10 @@
                              .mSlots = 12,
                              .mState = gateway::TargetState::Gone } } });
   ExpectRoundTrip(RecordMessage{ { .mNode = "without target" } });
+  const gateway::LeftTarget left{ .mId = "i", .mStartedUntil = Millis{ 9e11 } };
+  ExpectRoundTrip(RecordMessage{ { .mNode = "n", .mLeft = { left } } });
+  ExpectRoundTrip(LeftTargetsMessage{ .mLeft = { left } });
+  ExpectRoundTrip(RecordCopiedMessage{ .mIncarnation = 7, .mSequence = 2 });
   ExpectRoundTrip(EvidenceMessage{
     .mNode = "n",
     .mIncarnation = 4,
