Keep crashes and quarantined requests in the store

Cause: crashes counted so far and quarantines were kept in the memory of the processes only. A node that restarted alone learned quarantines from its neighbours, but not the crashes counted before them. Change: each node keeps the unexplained crashes of its own target, and the quarantines that they led to, in a row of its own; all nodes read these rows at their start. A node that links is told the unexplained crashes too. Rows and writes are bounded. Why it works: only the node of the target writes a row, so there is no contention, and what a quarantine explains is replaced by the quarantine in the same row.

--- a/libs/sidecar/include/sidecar/CrashGuard.h
+++ b/libs/sidecar/include/sidecar/CrashGuard.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,11 +32,17 @@
 {
 public:
   /** @param aNode the name of this node, used in the ids of its reports.
-   *  @param aBroadcast sends a message to all other nodes. */
-  CrashGuard(std::string aNode,
-             std::function<void(const PeerMessage&)> aBroadcast,
-             EventLog& aLog,
-             SidecarMetrics& aMetrics);
+   *  @param aBroadcast sends a message to all other nodes.
+   *  @param aKeep receives what this node must keep beyond its process: the
+   *    crashes of its own target that are not explained, and the quarantines
+   *    that they have led to. */
+  CrashGuard(
+    std::string aNode,
+    std::function<void(const PeerMessage&)> aBroadcast,
+    EventLog& aLog,
+    SidecarMetrics& aMetrics,
+    std::function<void(const QuarantineMessage&)> aKeep =
+      [](const QuarantineMessage&) {});
 
   /** Records that a call that was sent to the local target has ended without
    *  an answer: its connection was lost, or it was cancelled. */
@@ -60,14 +67,18 @@
   bool OnCrashReport(const CrashMessage& aMessage);
 
   /** Records that a suspect request was answered without a crash.
+   *  @param aHere whether the local target answered it.
    *  @return whether the request was a suspect, so that the message must be
    *    forwarded. */
-  bool OnSuspectCompleted(const SuspectCompletedMessage& aMessage);
+  bool OnSuspectCompleted(const SuspectCompletedMessage& aMessage,
+                          bool aHere = false);
 
-  /** Merges the quarantined requests known to a linked node. */
-  void OnQuarantined(const QuarantineMessage& aMessage);
+  /** Merges what a linked node knows, or what a node has kept.
+   *  @param aKeptHere whether an earlier process of this node has kept it. */
+  void OnQuarantined(const QuarantineMessage& aMessage, bool aKeptHere);
 
-  /** @return the requests that are currently quarantined. */
+  /** @return the requests that are currently quarantined, and the crashes that
+   *    are not explained. */
   [[nodiscard]] QuarantineMessage Quarantined() const;
 
   /** @return whether the request is quarantined and must not be sent to a
@@ -105,13 +116,34 @@
   [[nodiscard]] std::set<std::string> TakeSuspects(const TargetEnd& aEnd);
   void ReportCrash(const TargetEnd& aEnd);
   bool RecordCrash(const CrashMessage& aMessage);
+  /** @return whether the report with this id was not recorded before. */
+  bool IsNewReport(const std::string& aId);
+  /** Considers crash evidence until this wall-clock time. */
+  void TrackUntil(Millis aWallTime);
+  [[nodiscard]] bool IsOwnReport(const std::string& aId) const;
+  /** @return the suspects of the crashes of the local target. */
+  [[nodiscard]] std::set<std::string> OwnSuspects() const;
+  /** Handles new quarantines.
+   *  @param aOwnSuspects OwnSuspects() before them.
+   *  @param aDecidedHere whether the evidence that led to them came from this
+   *    node. */
+  void OnDecided(const std::vector<QuarantineFact>& aFacts,
+                 const std::set<std::string>& aOwnSuspects,
+                 bool aDecidedHere);
+  /** @return what this node must keep beyond its process. */
+  [[nodiscard]] QuarantineMessage Kept() const;
   void LogQuarantined(const std::vector<QuarantineFact>& aFacts);
 
   std::string mNode;
   std::function<void(const PeerMessage&)> mBroadcast;
   EventLog& mLog;
   SidecarMetrics& mMetrics;
+  std::function<void(const QuarantineMessage&)> mKeep;
   Quarantine mQuarantine;
+  /** The quarantines that this node keeps, by fingerprint. */
+  std::map<std::string, QuarantineFact> mKeptFacts;
+  /** Whether what this node keeps may have changed. */
+  bool mKeptChanged = false;
   /** Whether a recent crash or a quarantine is in effect. While it is false,
    *  no fingerprints are computed for answered or arriving requests. */
   bool mTrackingActive = false;
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -17,6 +17,7 @@
 #include <gateway/TargetChoice.h>
 #include <gateway/TextDelta.h>
 #include <net/Http.h>
+#include <traffic/Quarantine.h>
 #include <wire/Messages.h>
 
 namespace papayaway::sidecar {
@@ -222,10 +223,19 @@
   bool operator==(const SuspectCompletedMessage&) const = default;
 };
 
-/** The quarantined requests, sent to a node that has just linked. */
+/** Bounds of what a node keeps in its row of the store. */
+constexpr std::size_t kMaxStoredFacts = 16;
+constexpr std::size_t kMaxStoredCrashes = 4;
+/** A crash with more suspects is not stored: it says little about each. */
+constexpr std::size_t kMaxStoredSuspects = 32;
+
+/** Quarantined requests, and crashes that are not explained yet. Sent to a node
+ *  that has just linked, and kept in the store by the nodes whose targets have
+ *  crashed. */
 struct QuarantineMessage
 {
   std::vector<QuarantineFact> mFacts;
+  std::vector<CrashEvidence> mCrashes;
 
   bool operator==(const QuarantineMessage&) const = default;
 };
@@ -311,10 +321,12 @@
  *    publish. */
 bool IsPlausible(const gateway::NodeRecord& aRecord);
 
-/** Converts node records and rollout progress to and from the JSON text that
- *  the store holds. */
+/** Converts node records, quarantines and rollout progress to and from the JSON
+ * text that the store holds. */
 std::string EncodeRecord(const gateway::NodeRecord& aRecord);
 Expected<gateway::NodeRecord> DecodeRecord(const std::string& aText);
+std::string EncodeQuarantine(const QuarantineMessage& aMessage);
+Expected<QuarantineMessage> DecodeQuarantine(const std::string& aText);
 std::string EncodeProgress(const gateway::RolloutProgress& aProgress);
 Expected<gateway::RolloutProgress> DecodeProgress(const std::string& aText);
 
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -14,6 +14,7 @@
 #include <gateway/Rollout.h>
 #include <net/EventLoop.h>
 #include <sidecar/EventLog.h>
+#include <sidecar/PeerMessages.h>
 #include <sidecar/PlatformProtocol.h>
 #include <sidecar/RowStore.h>
 #include <sidecar/SidecarMetrics.h>
@@ -44,6 +45,9 @@
   /** Called with the stored record of this node, which may be of another
    *  incarnation than that of this process. */
   std::function<void(const gateway::NodeRecord&)> mOwnRecordRead;
+  /** Called with what a node, which may be this one, has kept of crashes. */
+  std::function<void(const std::string&, const QuarantineMessage&)>
+    mQuarantineRead;
   /** Called with the sequence number of the record of this process that the
    *  store has. */
   std::function<void(std::uint64_t)> mRecordStored;
@@ -82,6 +86,11 @@
   Millis mRecordRetryDelay{ 4000 };
   /** That delay for a record that must be written at once. */
   Millis mUrgentRetryDelay{ 1000 };
+  /** What a node keeps of crashes is written this long after a change, so that
+   *  the requests that have run since are not in it, and not more often than
+   *  the interval. */
+  Millis mQuarantineDelay{ 250 };
+  Millis mQuarantineInterval{ 3000 };
   /** When the store answers again, nodes write their records at random times
    *  within this period. */
   Millis mRecoveryJitter{ 500 };
@@ -153,6 +162,10 @@
   /** Called when a linked node has reported that the store answers again. */
   void OnStoreRecovered();
 
+  /** Schedules a write of what this node keeps of crashes.
+   *  @param aText the encoded value of the row; no row if empty. */
+  void PublishQuarantine(std::string aText);
+
   /** Writes the next step of a rollout and the status for the operator, unless
    *  another node has written a step in the meantime.
    *  @param aStatus the encoded status that the operator reads. */
@@ -180,6 +193,8 @@
   void OnConfirmed(Millis aAt);
   void ReadNodes();
   void WriteRecord();
+  void WriteQuarantine();
+  void OnQuarantineRow(const Row& aRow);
   void MergeOperatorRows(const RowList& aList, bool aWholeTable);
   void MergeNodes(const RowList& aList);
   /** Updates metrics, the store's clock and its availability. */
@@ -197,6 +212,7 @@
   Timer mOperatorRowsTimer;
   Timer mNodesTimer;
   Timer mRecordTimer;
+  Timer mQuarantineTimer;
   bool mOperatorRowsRead = false;
   bool mNodesRead = false;
   bool mStoreAvailable = true;
@@ -230,6 +246,12 @@
   bool mFirstWriteTried = false;
   /** Whether the next write of the record must not wait for further changes. */
   bool mWriteAtOnce = false;
+  /** What this node keeps of crashes, and the value of its row; empty if there
+   *  is none. */
+  std::string mQuarantine;
+  std::string mStoredQuarantine;
+  bool mQuarantineScheduled = false;
+  Millis mQuarantineWrittenAt;
   /** Consecutive calls that the store did not answer. */
   int mFailures = 0;
   /** The last received time of the store's clock, and when it was received. */
--- a/libs/sidecar/src/CrashGuard.cpp
+++ b/libs/sidecar/src/CrashGuard.cpp
@@ -29,11 +29,13 @@
 CrashGuard::CrashGuard(std::string aNode,
                        std::function<void(const PeerMessage&)> aBroadcast,
                        EventLog& aLog,
-                       SidecarMetrics& aMetrics)
+                       SidecarMetrics& aMetrics,
+                       std::function<void(const QuarantineMessage&)> aKeep)
   : mNode(std::move(aNode))
   , mBroadcast(std::move(aBroadcast))
   , mLog(aLog)
   , mMetrics(aMetrics)
+  , mKeep(std::move(aKeep))
 {
 }
 
@@ -123,7 +125,7 @@
     return;
   }
   const SuspectCompletedMessage message{ .mFingerprint = FingerprintOf(aCall) };
-  if (OnSuspectCompleted(message)) {
+  if (OnSuspectCompleted(message, true)) {
     mBroadcast(message);
   }
 }
@@ -137,16 +139,10 @@
 bool
 CrashGuard::RecordCrash(const CrashMessage& aMessage)
 {
-  if (!mSeenReports.insert(aMessage.mReport.mId).second) {
+  if (!IsNewReport(aMessage.mReport.mId)) {
     return false;
   }
-  mSeenReportOrder.push_back(aMessage.mReport.mId);
-  if (mSeenReportOrder.size() > kMaxSeenReports) {
-    mSeenReports.erase(mSeenReportOrder.front());
-    mSeenReportOrder.pop_front();
-  }
-  mTrackingActive = true;
-  mTrackingUntil = WallNow() + Quarantine::kDuration;
+  TrackUntil(WallNow() + Quarantine::kDuration);
   mMetrics.mTargetCrashes.Increment();
   mLog.WriteStateChange(
     "quarantine",
@@ -154,10 +150,89 @@
     { { "report", aMessage.mReport.mId },
       { "service", aMessage.mReport.mService },
       { "requests_in_flight", aMessage.mReport.mFingerprints.size() } });
-  LogQuarantined(mQuarantine.OnCrash(aMessage.mReport, WallNow()));
+  const std::set<std::string> ownSuspects = OwnSuspects();
+  OnDecided(mQuarantine.OnCrash(aMessage.mReport, WallNow()),
+            ownSuspects,
+            IsOwnReport(aMessage.mReport.mId));
   return true;
 }
 
+bool
+CrashGuard::IsNewReport(const std::string& aId)
+{
+  if (!mSeenReports.insert(aId).second) {
+    return false;
+  }
+  mSeenReportOrder.push_back(aId);
+  if (mSeenReportOrder.size() > kMaxSeenReports) {
+    mSeenReports.erase(mSeenReportOrder.front());
+    mSeenReportOrder.pop_front();
+  }
+  return true;
+}
+
+void
+CrashGuard::TrackUntil(Millis aWallTime)
+{
+  mTrackingActive = true;
+  mTrackingUntil = std::max(mTrackingUntil, aWallTime);
+}
+
+bool
+CrashGuard::IsOwnReport(const std::string& aId) const
+{
+  return aId.starts_with(mNode + "/");
+}
+
+std::set<std::string>
+CrashGuard::OwnSuspects() const
+{
+  std::set<std::string> suspects;
+  for (const CrashEvidence& crash : mQuarantine.Crashes()) {
+    if (IsOwnReport(crash.mId)) {
+      suspects.insert(crash.mSuspects.begin(), crash.mSuspects.end());
+    }
+  }
+  return suspects;
+}
+
+void
+CrashGuard::OnDecided(const std::vector<QuarantineFact>& aFacts,
+                      const std::set<std::string>& aOwnSuspects,
+                      bool aDecidedHere)
+{
+  mKeptChanged = true;
+  // Each node whose target has crashed keeps the quarantine, because that ends
+  // the evidence which it has kept so far.
+  for (const QuarantineFact& fact : aFacts) {
+    if (aDecidedHere || aOwnSuspects.contains(fact.mFingerprint)) {
+      mKeptFacts.insert_or_assign(fact.mFingerprint, fact);
+    }
+  }
+  LogQuarantined(aFacts);
+}
+
+QuarantineMessage
+CrashGuard::Kept() const
+{
+  QuarantineMessage kept;
+  for (const auto& [fingerprint, fact] : mKeptFacts) {
+    kept.mFacts.push_back(fact);
+  }
+  for (CrashEvidence& crash : mQuarantine.Crashes()) {
+    if (IsOwnReport(crash.mId) &&
+        crash.mSuspects.size() <= kMaxStoredSuspects) {
+      kept.mCrashes.push_back(std::move(crash));
+    }
+  }
+  // The newest ones.
+  if (kept.mCrashes.size() > kMaxStoredCrashes) {
+    kept.mCrashes.erase(kept.mCrashes.begin(),
+                        kept.mCrashes.end() - kMaxStoredCrashes);
+  }
+  return kept;
+}
+
 void
 CrashGuard::OnTick(Millis aNow, Millis aWallNow)
 {
@@ -170,11 +245,31 @@
     mLostCalls.pop_front();
   }
   mQuarantine.OnTick(aWallNow);
-  mTrackingActive = mTrackingActive && aWallNow < mTrackingUntil;
+  if (mTrackingActive) {
+    mKeptChanged = std::erase_if(mKeptFacts,
+                                 [&](const auto& aEntry) {
+                                   return aEntry.second.mExpires <= aWallNow;
+                                 }) > 0 ||
+                   mKeptChanged;
+    while (mKeptFacts.size() > kMaxStoredFacts) {
+      mKeptFacts.erase(std::min_element(mKeptFacts.begin(),
+                                        mKeptFacts.end(),
+                                        [](const auto& aOne, const auto& aTwo) {
+                                          return aOne.second.mExpires <
+                                                 aTwo.second.mExpires;
+                                        }));
+    }
+    mTrackingActive = aWallNow < mTrackingUntil;
+    mKeptChanged = mKeptChanged || !mTrackingActive;
+  }
+  if (std::exchange(mKeptChanged, false)) {
+    mKeep(Kept());
+  }
 }
 
 bool
-CrashGuard::OnSuspectCompleted(const SuspectCompletedMessage& aMessage)
+CrashGuard::OnSuspectCompleted(const SuspectCompletedMessage& aMessage,
+                               bool aHere)
 {
   if (!mQuarantine.IsSuspect(aMessage.mFingerprint)) {
     return false;
@@ -184,29 +279,57 @@
                "suspect_cleared",
                { { "fingerprint", aMessage.mFingerprint } });
   }
-  LogQuarantined(mQuarantine.OnRan(aMessage.mFingerprint, WallNow()));
+  const std::set<std::string> ownSuspects = OwnSuspects();
+  OnDecided(
+    mQuarantine.OnRan(aMessage.mFingerprint, WallNow()), ownSuspects, aHere);
   return true;
 }
 
 void
-CrashGuard::OnQuarantined(const QuarantineMessage& aMessage)
+CrashGuard::OnQuarantined(const QuarantineMessage& aMessage, bool aKeptHere)
 {
+  const Millis now = WallNow();
   for (const QuarantineFact& fact : aMessage.mFacts) {
-    if (mQuarantine.IsQuarantined(fact.mFingerprint, WallNow())) {
+    if (aKeptHere && fact.mExpires > now) {
+      mKeptFacts.insert_or_assign(fact.mFingerprint, fact);
+    }
+    if (mQuarantine.IsQuarantined(fact.mFingerprint, now)) {
       continue;
     }
-    mTrackingActive = true;
-    mTrackingUntil = std::max(mTrackingUntil, fact.mExpires);
-    mQuarantine.OnFact(fact, WallNow());
+    TrackUntil(fact.mExpires);
+    mQuarantine.OnFact(fact, now);
     LogQuarantined({ fact });
   }
+  for (const CrashEvidence& crash : aMessage.mCrashes) {
+    const Millis expires = crash.mReportedAt + Quarantine::kDuration;
+    if (expires <= now || crash.mReportedAt > now + Quarantine::kDuration ||
+        !IsNewReport(crash.mId)) {
+      continue;
+    }
+    TrackUntil(expires);
+    mLog.WriteStateChange("quarantine",
+                          "crash_learned",
+                          { { "report", crash.mId },
+                            { "service", crash.mService },
+                            { "suspects", crash.mSuspects.size() } });
+    const std::set<std::string> ownSuspects = OwnSuspects();
+    OnDecided(mQuarantine.OnCrash({ .mId = crash.mId,
+                                    .mService = crash.mService,
+                                    .mFingerprints = crash.mSuspects },
+                                  crash.mReportedAt),
+              ownSuspects,
+              IsOwnReport(crash.mId));
+  }
 }
 
 QuarantineMessage
 CrashGuard::Quarantined() const
 {
-  return { .mFacts = mTrackingActive ? mQuarantine.Quarantined(WallNow())
-                                     : std::vector<QuarantineFact>() };
+  if (!mTrackingActive) {
+    return {};
+  }
+  return { .mFacts = mQuarantine.Quarantined(WallNow()),
+           .mCrashes = mQuarantine.Crashes() };
 }
 
 void
--- a/libs/sidecar/src/PeerMessages.cpp
+++ b/libs/sidecar/src/PeerMessages.cpp
@@ -420,6 +420,49 @@
   return message;
 }
 
+json
+ToJson(const QuarantineMessage& aMessage)
+{
+  json facts = json::array();
+  for (const QuarantineFact& fact : aMessage.mFacts) {
+    facts.push_back({ fact.mFingerprint,
+                      fact.mService,
+                      fact.mReleased,
+                      fact.mSequence,
+                      fact.mExpires.WholeMillis() });
+  }
+  json crashes = json::array();
+  for (const CrashEvidence& crash : aMessage.mCrashes) {
+    crashes.push_back({ crash.mId,
+                        crash.mService,
+                        crash.mReportedAt.WholeMillis(),
+                        crash.mSuspects });
+  }
+  return json::array({ std::move(facts), std::move(crashes) });
+}
+
+QuarantineMessage
+QuarantineFromJson(const json& aList)
+{
+  QuarantineMessage message;
+  for (const json& fact : aList.at(0)) {
+    message.mFacts.push_back(
+      { .mFingerprint = fact.at(0).get<std::string>(),
+        .mService = fact.at(1).get<std::string>(),
+        .mReleased = fact.at(2).get<bool>(),
+        .mSequence = fact.at(3).get<std::uint64_t>(),
+        .mExpires = { static_cast<double>(fact.at(4).get<std::int64_t>()) } });
+  }
+  for (const json& crash : aList.at(1)) {
+    message.mCrashes.push_back(
+      { .mId = crash.at(0).get<std::string>(),
+        .mService = crash.at(1).get<std::string>(),
+        .mReportedAt = Millis{ crash.at(2).get<double>() },
+        .mSuspects = crash.at(3).get<std::vector<std::string>>() });
+  }
+  return message;
+}
+
 json
 MessageToJson(const PeerMessage& aMessage)
 {
@@ -468,15 +511,7 @@
       } else if constexpr (std::is_same_v<Message, SuspectCompletedMessage>) {
         return { MessageType::SuspectCompleted, aValue.mFingerprint };
       } else if constexpr (std::is_same_v<Message, QuarantineMessage>) {
-        json list = json::array({ MessageType::Quarantine });
-        for (const QuarantineFact& fact : aValue.mFacts) {
-          list.push_back({ fact.mFingerprint,
-                           fact.mService,
-                           fact.mReleased,
-                           fact.mSequence,
-                           fact.mExpires.WholeMillis() });
-        }
-        return list;
+        return { MessageType::Quarantine, ToJson(aValue) };
       } else if constexpr (std::is_same_v<Message, EvacuationsMessage>) {
         return { MessageType::Evacuations,
                  aValue.mEvacuations.mVersion,
@@ -561,20 +596,8 @@
     case MessageType::SuspectCompleted:
       return SuspectCompletedMessage{ .mFingerprint =
                                         aList.at(1).get<std::string>() };
-    case MessageType::Quarantine: {
-      QuarantineMessage message;
-      for (std::size_t i = 1; i < aList.size(); ++i) {
-        const json& fact = aList.at(i);
-        message.mFacts.push_back(
-          { .mFingerprint = fact.at(0).get<std::string>(),
-            .mService = fact.at(1).get<std::string>(),
-            .mReleased = fact.at(2).get<bool>(),
-            .mSequence = fact.at(3).get<std::uint64_t>(),
-            .mExpires = {
-              static_cast<double>(fact.at(4).get<std::int64_t>()) } });
-      }
-      return message;
-    }
+    case MessageType::Quarantine:
+      return QuarantineFromJson(aList.at(1));
     case MessageType::Evacuations:
       return EvacuationsFromJson(aList);
     case MessageType::CapReport:
@@ -680,6 +703,18 @@
          targetIsPlausible;
 }
 
+std::string
+EncodeQuarantine(const QuarantineMessage& aMessage)
+{
+  return ToJson(aMessage).dump();
+}
+
+Expected<QuarantineMessage>
+DecodeQuarantine(const std::string& aText)
+{
+  return DecodeOrError(ParseJson(aText), QuarantineFromJson);
+}
+
 std::string
 EncodeProgress(const RolloutProgress& aProgress)
 {
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -82,7 +82,11 @@
         Broadcast(aMessage, mSettings.mName);
       },
       mLog,
-      mMetrics)
+      mMetrics,
+      [this](const QuarantineMessage& aKept) {
+        const bool empty = aKept.mFacts.empty() && aKept.mCrashes.empty();
+        mSync.PublishQuarantine(empty ? "" : EncodeQuarantine(aKept));
+      })
   , mEvacuations({ .mDataCentre = aSettings.mDataCentre,
                    .mRowPrefix = aProtocol.Operator().mEvacuationPrefix },
                  { .mIsKnownDataCentre =
@@ -204,6 +208,10 @@
         .mOwnRecord = [this] { return OwnRecord(); },
         .mOwnRecordRead =
           [this](const NodeRecord& aRecord) { OnOwnRecordReceived(aRecord); },
+        .mQuarantineRead =
+          [this](const std::string& aNode, const QuarantineMessage& aKept) {
+            mCrashes.OnQuarantined(aKept, aNode == mSettings.mName);
+          },
         .mRecordStored =
           [this](std::uint64_t aSequence) { mLeaves.OnStored(aSequence); },
         .mRecordNotStored = [this] { mLeaves.OnStoreFailed(); } },
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -49,7 +49,7 @@
       mMesh.Reply(aLink, OwnLoad());
       AnswerRecord(aLink, record->mRecord);
       if (auto quarantined = mCrashes.Quarantined();
-          !quarantined.mFacts.empty()) {
+          !quarantined.mFacts.empty() || !quarantined.mCrashes.empty()) {
         mMesh.Reply(aLink, std::move(quarantined));
       }
     }
@@ -85,7 +85,7 @@
     }
   } else if (const auto* const quarantine =
                std::get_if<QuarantineMessage>(&aMessage)) {
-    mCrashes.OnQuarantined(*quarantine);
+    mCrashes.OnQuarantined(*quarantine, false);
   } else if (const auto* const evacuations =
                std::get_if<EvacuationsMessage>(&aMessage)) {
     OnEvacuations(aNode, *evacuations);
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -12,11 +12,12 @@
 
 namespace {
 
-/** The nodes' table in the store: it has a row for each node and for the
- *  progress of each rollout. */
+/** The nodes' table in the store: it has a row for each node, for the progress
+ *  of each rollout, and for each node whose target has crashed recently. */
 constexpr const char* kNodesTable = "papayaway";
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kRolloutPrefix = "rollout/";
+constexpr std::string_view kQuarantinePrefix = "quarantine/";
 
 /** Nodes that do not follow the operator rows read the nodes' table this many
  *  times less often. */
@@ -61,6 +62,7 @@
   , mOperatorRowsTimer(aLoop, [this] { FetchOperatorRows(); })
   , mNodesTimer(aLoop, [this] { ReadNodes(); })
   , mRecordTimer(aLoop, [this] { WriteRecord(); })
+  , mQuarantineTimer(aLoop, [this] { WriteQuarantine(); })
 {
 }
 
@@ -274,6 +276,7 @@
     if (row.mVersion < newest) {
       continue;
     }
+    const bool changed = row.mVersion != newest;
     newest = row.mVersion;
     const std::string_view key = row.mKey;
     if (key.starts_with(kNodePrefix)) {
@@ -292,6 +295,10 @@
       } else {
         mHandlers.mRecordRead(*record);
       }
+    } else if (key.starts_with(kQuarantinePrefix)) {
+      if (changed) {
+        OnQuarantineRow(row);
+      }
     } else if (key.starts_with(kRolloutPrefix)) {
       const Expected<RolloutProgress> progress = DecodeProgress(row.mValue);
       if (progress) {
@@ -307,6 +314,72 @@
   }
 }
 
+void
+StoreSync::OnQuarantineRow(const Row& aRow)
+{
+  const std::string node = aRow.mKey.substr(kQuarantinePrefix.size());
+  if (node == mOptions.mNode) {
+    mStoredQuarantine = aRow.mValue;
+  }
+  const Expected<QuarantineMessage> kept = DecodeQuarantine(aRow.mValue);
+  if (kept) {
+    mHandlers.mQuarantineRead(node, *kept);
+    return;
+  }
+  mMetrics.mBadInput.Increment();
+  mLog.WriteStateChange(
+    "store",
+    "bad_row",
+    { { "key", aRow.mKey }, { "reason", kept.error().mMessage } });
+}
+
+void
+StoreSync::PublishQuarantine(std::string aText)
+{
+  mQuarantine = std::move(aText);
+  if (mQuarantine != mStoredQuarantine && !mQuarantineScheduled) {
+    mQuarantineScheduled = true;
+    mQuarantineTimer.StartOnce(std::max(
+      mOptions.mQuarantineDelay,
+      mQuarantineWrittenAt + mOptions.mQuarantineInterval - SteadyNow()));
+  }
+}
+
+void
+StoreSync::WriteQuarantine()
+{
+  if (!mRowVersionKnown) {
+    // An earlier process may have kept something.
+    mQuarantineTimer.StartOnce(mOptions.mUrgentRetryDelay);
+    return;
+  }
+  mQuarantineWrittenAt = SteadyNow();
+  const std::string key = std::string(kQuarantinePrefix) + mOptions.mNode;
+  const Row row{ .mTable = kNodesTable, .mKey = key, .mValue = mQuarantine };
+  StoreChange change;
+  change.mConditions.push_back(
+    { .mTable = kNodesTable, .mKey = key, .mVersion = mRowVersions[key] });
+  (mQuarantine.empty() ? change.mDeletes : change.mWrites).push_back(row);
+  mStore.Commit(change, [this, key, text = mQuarantine](Result aResult) {
+    OnStoreResult("write_quarantine", aResult);
+    mQuarantineScheduled = false;
+    if (aResult) {
+      mStoredQuarantine = text;
+      mRowVersions[key] =
+        text.empty() ? 0 : std::max(mRowVersions[key], aResult->mVersion);
+      PublishQuarantine(mQuarantine);
+      return;
+    }
+    mQuarantineScheduled = true;
+    if (aResult.error().mFailure == StoreFailure::Conflict ||
+        aResult.error().mFailure == StoreFailure::OutcomeUnknown) {
+      mNodesTimer.StartOnce(RetryDelay(mOptions.mMaxRetryDelay));
+    }
+    mQuarantineTimer.StartOnce(mOptions.mUrgentRetryDelay *
+                               (1 + UniformFraction(mRandom)));
+  });
+}
+
 void
 StoreSync::ReadNodes()
 {
@@ -319,10 +392,18 @@
     mNodesRead = true;
     mRowVersionKnown = true;
     const std::string ownKey = std::string(kNodePrefix) + mOptions.mNode;
-    const bool present =
-      std::any_of(aResult->mRows.begin(),
-                  aResult->mRows.end(),
-                  [&](const Row& aRow) { return aRow.mKey == ownKey; });
+    const auto contains = [&](const std::string& aKey) {
+      return std::any_of(aResult->mRows.begin(),
+                         aResult->mRows.end(),
+                         [&](const Row& aRow) { return aRow.mKey == aKey; });
+    };
+    const bool present = contains(ownKey);
+    const std::string quarantineKey =
+      std::string(kQuarantinePrefix) + mOptions.mNode;
+    if (!contains(quarantineKey)) {
+      mRowVersions[quarantineKey] = 0;
+      mStoredQuarantine.clear();
+    }
     if (!present && mRowVersions[ownKey] != 0) {
       // An operator removed the row.
       mRowVersions[ownKey] = 0;
--- a/libs/sidecar/tests/CrashGuardTest.cpp
+++ b/libs/sidecar/tests/CrashGuardTest.cpp
@@ -1,5 +1,6 @@
 #include <sidecar/CrashGuard.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,7 +28,8 @@
         name,
         [this](const PeerMessage& aMessage) { Broadcast(aMessage); },
         mLog,
-        mMetrics));
+        mMetrics,
+        [this, name](const QuarantineMessage& aKept) { mKept[name] = aKept; }));
     }
   }
   ~CrashGuardTest() override { close(mSink); }
@@ -79,6 +81,8 @@
   EventLog mLog;
   SidecarMetrics mMetrics;
   std::vector<std::unique_ptr<CrashGuard>> mGuards;
+  /** What each node keeps beyond its process. */
+  std::map<std::string, QuarantineMessage> mKept;
 };
 
 // Guards against a request that crashes one target after another: after its
@@ -108,12 +112,71 @@
     "e", [](const PeerMessage&) {}, mLog, mMetrics);
   EXPECT_TRUE(restarted.Quarantined().mFacts.empty());
   EXPECT_FALSE(restarted.IsQuarantined(Call("/bad")));
-  restarted.OnQuarantined(mGuards[3]->Quarantined());
+  restarted.OnQuarantined(mGuards[3]->Quarantined(), false);
   EXPECT_TRUE(restarted.IsQuarantined(Call("/bad")));
   EXPECT_FALSE(restarted.IsQuarantined(Call("/good")));
   EXPECT_EQ(restarted.Quarantined(), mGuards[3]->Quarantined());
 }
 
+// Guards against quarantines, and crashes counted so far, that are forgotten
+// when all nodes are killed (review 9), and against requests that have run
+// since and are suspects again.
+TEST_F(CrashGuardTest, KeptCrashesCountAfterAllNodesWereKilled)
+{
+  CrashTarget(0, { "/bad", "/one" });
+  CrashTarget(1, { "/one", "/bad" });
+  mGuards[2]->OnAnswered(Call("/one"), mNow, mNow);
+  const auto restart = [&] {
+    const auto kept = mKept;
+    for (std::size_t i = 0; i < mGuards.size(); ++i) {
+      const std::string name(1, static_cast<char>('a' + i));
+      mGuards[i] = std::make_unique<CrashGuard>(
+        name,
+        [this](const PeerMessage& aMessage) { Broadcast(aMessage); },
+        mLog,
+        mMetrics,
+        [this, name](const QuarantineMessage& aKept) { mKept[name] = aKept; });
+      for (const auto& [node, message] : kept) {
+        mGuards[i]->OnQuarantined(message, node == name);
+      }
+    }
+  };
+  for (const auto& guard : mGuards) {
+    EXPECT_TRUE(guard->IsQuarantined(Call("/bad")));
+    guard->OnTick(mNow, WallNow());
+  }
+  for (int i = 0; i < 2; ++i) {
+    restart();
+    for (const auto& guard : mGuards) {
+      EXPECT_TRUE(guard->IsQuarantined(Call("/bad")));
+      EXPECT_FALSE(guard->IsQuarantined(Call("/one")));
+      guard->OnTick(mNow, WallNow());
+    }
+  }
+  EXPECT_TRUE(mKept["c"].mCrashes.empty());
+  CrashTarget(0, { "/worse" });
+  restart();
+  CrashTarget(1, { "/worse" });
+  EXPECT_TRUE(mGuards[2]->IsQuarantined(Call("/worse")));
+}
+
+// Guards against rows of the store that grow with the number of crashes.
+TEST_F(CrashGuardTest, KeptCrashesAreBounded)
+{
+  for (const int suspects : { 33, 1, 2, 1, 32, 1 }) {
+    std::vector<std::string> paths;
+    for (int i = 0; i < suspects; ++i) {
+      paths.push_back("/" + std::to_string(mKept["a"].mCrashes.size()) + "/" +
+                      std::to_string(suspects) + "/" + std::to_string(i));
+    }
+    CrashTarget(0, paths);
+  }
+  EXPECT_EQ(mKept["a"].mCrashes.size(), kMaxStoredCrashes);
+  for (const CrashEvidence& crash : mKept["a"].mCrashes) {
+    EXPECT_LE(crash.mSuspects.size(), kMaxStoredSuspects);
+  }
+}
+
 // Guards against quarantining a harmless request that was in flight at the same
 // crashes as the request that caused them.
 TEST_F(CrashGuardTest, RequestAnsweredAfterCrashesIsNotQuarantined)
--- a/libs/sidecar/tests/PeerMessagesTest.cpp
+++ b/libs/sidecar/tests/PeerMessagesTest.cpp
@@ -123,6 +123,11 @@
   ExpectRoundTrip(CrashMessage{
     .mReport = { .mId = "n/1", .mService = "s", .mFingerprints = { "f" } } });
   ExpectRoundTrip(SuspectCompletedMessage{ .mFingerprint = "f" });
+  ExpectRoundTrip(
+    QuarantineMessage{ .mCrashes = { { .mId = "n/1",
+                                       .mService = "s",
+                                       .mReportedAt = Millis{ 9e11 },
+                                       .mSuspects = { "f" } } } });
   ExpectRoundTrip(QuarantineMessage{ .mFacts = { { .mFingerprint = "f",
                                                    .mService = "s",
                                                    .mSequence = 3,
--- a/libs/traffic/include/traffic/Quarantine.h
+++ b/libs/traffic/include/traffic/Quarantine.h
@@ -35,6 +35,19 @@
 /** @return a hash of aIdentity as 16 hexadecimal digits. */
 std::string RequestFingerprint(const RequestIdentity& aIdentity);
 
+/** What is known of a crash that is not explained by a quarantine yet. */
+struct CrashEvidence
+{
+  std::string mId;
+  std::string mService;
+  /** When the crash was reported, by the wall clock. */
+  Millis mReportedAt;
+  /** The requests that were in flight and have not run since, each once. */
+  std::vector<std::string> mSuspects;
+
+  bool operator==(const CrashEvidence&) const = default;
+};
+
 /** What to do with a request. With every decision other than Run it is
  *  refused before it runs. */
 enum class QuarantineDecision
@@ -122,6 +135,10 @@
    *    yet. If it runs, the other nodes must be told. */
   [[nodiscard]] bool IsSuspect(std::string_view aFingerprint) const;
 
+  /** @return the crashes that have suspects left, in the order of their
+   *    reports. */
+  [[nodiscard]] std::vector<CrashEvidence> Crashes() const;
+
   /** @return the facts of all quarantines in force. */
   [[nodiscard]] std::vector<QuarantineFact> Quarantined(Millis aWallNow) const;
 
@@ -136,15 +153,6 @@
   using ByFingerprint =
     std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
-  struct Crash
-  {
-    std::string mId;
-    std::string mService;
-    Millis mReceivedAt;
-    /** The requests that were in flight and have not run since, each once. */
-    std::vector<std::string> mSuspects;
-  };
-
   struct SuspectState
   {
     /** The number of crashes with the request among their suspects. */
@@ -158,11 +166,11 @@
                 Millis aWallNow,
                 std::vector<QuarantineFact>& aFacts);
   void ClearExplainedCrashes(const std::string& aFingerprint);
-  void RemoveSuspect(Crash& aCrash, const std::string& aFingerprint);
-  void ClearSuspects(Crash& aCrash);
+  void RemoveSuspect(CrashEvidence& aCrash, const std::string& aFingerprint);
+  void ClearSuspects(CrashEvidence& aCrash);
   void Store(const QuarantineFact& aFact, Millis aWallNow);
 
-  std::deque<Crash> mCrashes;
+  std::deque<CrashEvidence> mCrashes;
   ByFingerprint<SuspectState> mSuspects;
   ByFingerprint<QuarantineFact> mFacts;
 };
--- a/libs/traffic/src/Quarantine.cpp
+++ b/libs/traffic/src/Quarantine.cpp
@@ -1,6 +1,7 @@
 #include <traffic/Quarantine.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include <base/Hash.h>
 
@@ -52,8 +53,8 @@
 Quarantine::OnCrash(const CrashReport& aReport, Millis aWallNow)
 {
   std::vector<QuarantineFact> facts;
-  const bool known =
-    std::any_of(mCrashes.begin(), mCrashes.end(), [&](const Crash& aCrash) {
+  const bool known = std::any_of(
+    mCrashes.begin(), mCrashes.end(), [&](const CrashEvidence& aCrash) {
       return aCrash.mId == aReport.mId;
     });
   // A quarantined request that was still in flight is taken as the cause.
@@ -69,7 +70,7 @@
     ClearSuspects(mCrashes.front());
     mCrashes.pop_front();
   }
-  Crash crash{ aReport.mId, aReport.mService, aWallNow, {} };
+  CrashEvidence crash{ aReport.mId, aReport.mService, aWallNow, {} };
   for (const std::string& fingerprint : aReport.mFingerprints) {
     if (!Contains(crash.mSuspects, fingerprint)) {
       crash.mSuspects.push_back(fingerprint);
@@ -94,7 +95,7 @@
     return facts;
   }
   std::vector<std::string> remaining;
-  for (Crash& crash : mCrashes) {
+  for (CrashEvidence& crash : mCrashes) {
     if (Contains(crash.mSuspects, aFingerprint)) {
       RemoveSuspect(crash, aFingerprint);
       remaining.insert(
@@ -121,7 +122,7 @@
   std::vector<std::string> commonSuspects;
   std::string service;
   bool first = true;
-  for (const Crash& crash : mCrashes) {
+  for (const CrashEvidence& crash : mCrashes) {
     if (!Contains(crash.mSuspects, aFingerprint)) {
       continue;
     }
@@ -156,7 +157,7 @@
 void
 Quarantine::ClearExplainedCrashes(const std::string& aFingerprint)
 {
-  for (Crash& crash : mCrashes) {
+  for (CrashEvidence& crash : mCrashes) {
     if (Contains(crash.mSuspects, aFingerprint)) {
       ClearSuspects(crash);
     }
@@ -164,7 +165,8 @@
 }
 
 void
-Quarantine::RemoveSuspect(Crash& aCrash, const std::string& aFingerprint)
+Quarantine::RemoveSuspect(CrashEvidence& aCrash,
+                          const std::string& aFingerprint)
 {
   std::erase(aCrash.mSuspects, aFingerprint);
   const auto found = mSuspects.find(aFingerprint);
@@ -174,7 +176,7 @@
 }
 
 void
-Quarantine::ClearSuspects(Crash& aCrash)
+Quarantine::ClearSuspects(CrashEvidence& aCrash)
 {
   // A copy, because RemoveSuspect() changes the list.
   const std::vector<std::string> suspects = aCrash.mSuspects;
@@ -231,7 +233,7 @@
 {
   while (!mCrashes.empty() &&
          (mCrashes.front().mSuspects.empty() ||
-          aWallNow - mCrashes.front().mReceivedAt > kDuration)) {
+          aWallNow - mCrashes.front().mReportedAt > kDuration)) {
     ClearSuspects(mCrashes.front());
     mCrashes.pop_front();
   }
@@ -278,6 +280,18 @@
   return mSuspects.find(aFingerprint) != mSuspects.end();
 }
 
+std::vector<CrashEvidence>
+Quarantine::Crashes() const
+{
+  std::vector<CrashEvidence> crashes;
+  std::copy_if(
+    mCrashes.begin(),
+    mCrashes.end(),
+    std::back_inserter(crashes),
+    [](const CrashEvidence& aCrash) { return !aCrash.mSuspects.empty(); });
+  return crashes;
+}
+
 std::vector<QuarantineFact>
 Quarantine::Quarantined(Millis aWallNow) const
 {
