--- a/libs/gateway/include/gateway/FollowerElection.h
+++ b/libs/gateway/include/gateway/FollowerElection.h
@@ -54,8 +54,8 @@
  * calls are billed, and all of them would read the rows over the link between
  * regions as soon as the store returns. Therefore the first candidates keep
  * trying. The other nodes try in rotation, a few at a time, because the store
- * may refuse some nodes and serve the others. As long as a change can still be in
- * force in time, more and more nodes try.
+ * may refuse some nodes and serve the others. As long as a change can still be
+ * in force in time, more and more nodes try.
  */
 class FollowerElection
 {
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -113,6 +113,9 @@
     { .mTakeoverTime = mReadSchedule.mTakeoverTime }
   };
   gateway::StoreConfirmations mConfirmations{ mReadSchedule };
+  /** Whether the newest confirmation of the region was too old at the last
+   *  tick. */
+  bool mConfirmationsOverdue = false;
   /** When this node reads the desired state from the store if it has not
    *  received one from another node by then. */
   Millis mDirectReadAt;
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -105,6 +105,15 @@
   // process of the target.
   mCrashes.OnTick(now, WallNow());
   const std::optional<Millis> overdueFor = mConfirmations.OverdueFor(BootNow());
+  if (overdueFor.has_value() != mConfirmationsOverdue) {
+    mConfirmationsOverdue = overdueFor.has_value();
+    mLog.WriteStateChange(
+      "store",
+      overdueFor ? "confirmations_overdue" : "confirmations_recent",
+      { { "max_age_ms", mReadSchedule.mMaxAge.WholeMillis() },
+        { "state_version", StateVersion() },
+        { "follows", mSync.IsFollowing() } });
+  }
   const bool takeover =
     overdueFor && *overdueFor < mReadSchedule.mTakeoverTime + kLoadPeriod;
   const bool loadDue = now - mLastLoadCheck >= kLoadPeriod;
--- a/libs/sidecar/tests/CrashGuardTest.cpp
+++ b/libs/sidecar/tests/CrashGuardTest.cpp
@@ -165,6 +165,7 @@
 {
   for (const int suspects : { 33, 1, 2, 1, 32, 1 }) {
     std::vector<std::string> paths;
+    paths.reserve(static_cast<std::size_t>(suspects));
     for (int i = 0; i < suspects; ++i) {
       paths.push_back("/" + std::to_string(mKept["a"].mCrashes.size()) + "/" +
                       std::to_string(suspects) + "/" + std::to_string(i));
