Call the nodes that follow the store followers everywhere

The glossary has follower; new code and pages had reader for the same. Copies of a record that the store has by now are forgotten, so that their number stays bounded.

--- a/libs/gateway/include/gateway/StoreConfirmations.h
+++ b/libs/gateway/include/gateway/StoreConfirmations.h
@@ -10,29 +10,29 @@
 
 /** The times of the nodes that read the operator rows. They follow from the
  *  time within which a change must be in force on all nodes. */
-struct ReadSchedule
+struct FollowSchedule
 {
   /** How long a call waits at the store for a change. Its answer confirms that
    *  there was none. */
   Millis mWait;
-  /** A reader whose newest confirmation is older than this has lost the
+  /** A follower whose newest confirmation is older than this has lost the
    *  store. */
   Millis mMaxAge;
   /** For how long after that other nodes start reading in quick succession. */
   Millis mTakeoverTime;
 
-  bool operator==(const ReadSchedule&) const = default;
+  bool operator==(const FollowSchedule&) const = default;
 };
 
 /**
  * @param aPropagationLimit the time within which a change must be in force.
- * @param aBatchDelay how long a reader waits after a change before its next
+ * @param aBatchDelay how long a follower waits after a change before its next
  *   call.
- * @return the schedule with which a change is in force in time if its readers
+ * @return the schedule with which a change is in force in time if its followers
  *   lose the store just before it, provided that a node which takes over within
  *   mTakeoverTime reaches the store.
  */
-ReadSchedule MakeReadSchedule(Millis aPropagationLimit, Millis aBatchDelay);
+FollowSchedule MakeFollowSchedule(Millis aPropagationLimit, Millis aBatchDelay);
 
 /**
  * The newest confirmations by the store that the nodes of a region have had:
@@ -45,7 +45,7 @@
 class StoreConfirmations
 {
 public:
-  explicit StoreConfirmations(ReadSchedule aSchedule)
+  explicit StoreConfirmations(FollowSchedule aSchedule)
     : mSchedule(aSchedule)
   {
   }
@@ -57,7 +57,7 @@
 
   /** Records that a node reports that it reads the rows. Until mMaxAge after
    *  its first report it counts as confirmed. */
-  void OnReader(const std::string& aNode, Millis aNow);
+  void OnFollower(const std::string& aNode, Millis aNow);
 
   /** @return whether the node counts as one that the store answers. */
   [[nodiscard]] bool IsConfirmed(const std::string& aNode, Millis aNow) const;
@@ -67,14 +67,14 @@
   [[nodiscard]] std::optional<Millis> OverdueFor(Millis aNow) const;
 
 private:
-  struct Reader
+  struct Follower
   {
     Millis mFirstSeen;
     std::optional<Millis> mConfirmedAt;
   };
 
-  ReadSchedule mSchedule;
-  std::map<std::string, Reader> mReaders;
+  FollowSchedule mSchedule;
+  std::map<std::string, Follower> mFollowers;
   std::optional<Millis> mNewest;
 };
 
--- a/libs/gateway/src/LeaveAcknowledgements.cpp
+++ b/libs/gateway/src/LeaveAcknowledgements.cpp
@@ -22,6 +22,8 @@
 LeaveAcknowledgements::OnStored(std::uint64_t aSequence)
 {
   mStored = std::max(mStored, aSequence);
+  std::erase_if(mCopied,
+                [&](const auto& aEntry) { return aEntry.second <= mStored; });
   AnswerDue(mNow);
 }
 
--- a/libs/gateway/src/StoreConfirmations.cpp
+++ b/libs/gateway/src/StoreConfirmations.cpp
@@ -14,13 +14,13 @@
  *  its answer may be late. */
 constexpr double kWaitFraction = 1.0 / 3;
 constexpr double kLatenessFraction = 1.0 / 5;
-/** Readers without news for this many times mMaxAge are forgotten. */
+/** Followers without news for this many times mMaxAge are forgotten. */
 constexpr double kRetention = 20;
 
 } // namespace
 
-ReadSchedule
-MakeReadSchedule(Millis aPropagationLimit, Millis aBatchDelay)
+FollowSchedule
+MakeFollowSchedule(Millis aPropagationLimit, Millis aBatchDelay)
 {
   const Millis available = aPropagationLimit - kSpreadTime;
   const Millis wait = std::max(kMinWait, available * kWaitFraction);
@@ -36,32 +36,32 @@
                                 Millis aAt,
                                 Millis aNow)
 {
-  std::erase_if(mReaders, [&](const auto& aEntry) {
-    const Reader& reader = aEntry.second;
-    return aNow - reader.mConfirmedAt.value_or(reader.mFirstSeen) >
+  std::erase_if(mFollowers, [&](const auto& aEntry) {
+    const Follower& follower = aEntry.second;
+    return aNow - follower.mConfirmedAt.value_or(follower.mFirstSeen) >
            mSchedule.mMaxAge * kRetention;
   });
-  Reader& reader =
-    mReaders.try_emplace(aNode, Reader{ .mFirstSeen = aNow }).first->second;
-  if (reader.mConfirmedAt && *reader.mConfirmedAt >= aAt) {
+  Follower& follower =
+    mFollowers.try_emplace(aNode, Follower{ .mFirstSeen = aNow }).first->second;
+  if (follower.mConfirmedAt && *follower.mConfirmedAt >= aAt) {
     return false;
   }
-  reader.mConfirmedAt = aAt;
+  follower.mConfirmedAt = aAt;
   mNewest = std::max(mNewest.value_or(aAt), aAt);
   return true;
 }
 
 void
-StoreConfirmations::OnReader(const std::string& aNode, Millis aNow)
+StoreConfirmations::OnFollower(const std::string& aNode, Millis aNow)
 {
-  mReaders.try_emplace(aNode, Reader{ .mFirstSeen = aNow });
+  mFollowers.try_emplace(aNode, Follower{ .mFirstSeen = aNow });
 }
 
 bool
 StoreConfirmations::IsConfirmed(const std::string& aNode, Millis aNow) const
 {
-  const auto found = mReaders.find(aNode);
-  return found != mReaders.end() &&
+  const auto found = mFollowers.find(aNode);
+  return found != mFollowers.end() &&
          aNow - found->second.mConfirmedAt.value_or(found->second.mFirstSeen) <=
            mSchedule.mMaxAge;
 }
--- a/libs/gateway/tests/StoreConfirmationsTest.cpp
+++ b/libs/gateway/tests/StoreConfirmationsTest.cpp
@@ -7,13 +7,13 @@
 
 constexpr Millis kBatchDelay{ 400 };
 
-// Guards against a schedule with which a lost reader is noticed too late for
+// Guards against a schedule with which a lost follower is noticed too late for
 // another node to read the change, or is reported lost while it works.
-TEST(ReadSchedule, FollowsFromThePropagationLimit)
+TEST(FollowSchedule, FollowsFromThePropagationLimit)
 {
   for (const double limit : { 1000, 2000, 3000, 10000 }) {
-    const ReadSchedule schedule =
-      MakeReadSchedule(Millis{ limit }, kBatchDelay);
+    const FollowSchedule schedule =
+      MakeFollowSchedule(Millis{ limit }, kBatchDelay);
     EXPECT_GT(schedule.mMaxAge, schedule.mWait + kBatchDelay) << limit;
     if (limit >= 2000) {
       EXPECT_LE(schedule.mMaxAge + schedule.mTakeoverTime,
@@ -38,7 +38,7 @@
   EXPECT_TRUE(confirmations.IsConfirmed("a", Millis{ 11000 }));
   EXPECT_FALSE(confirmations.IsConfirmed("b", Millis{ 11000 }));
   EXPECT_FALSE(confirmations.IsConfirmed("c", Millis{ 11000 }));
-  confirmations.OnReader("c", Millis{ 11000 });
+  confirmations.OnFollower("c", Millis{ 11000 });
   EXPECT_TRUE(confirmations.IsConfirmed("c", Millis{ 11500 }));
 }
 
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -181,7 +181,7 @@
   , mSync(
       aLoop,
       { .mNode = aSettings.mName,
-        .mFollowWait = mReadSchedule.mWait,
+        .mFollowWait = mFollowSchedule.mWait,
         .mFirstWriteDelay = aSettings.mCheckInPeriod + kCheckInSlack },
       aStore,
       aProtocol.Operator(),
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -51,9 +51,9 @@
   EventLoop& mLoop;
   SidecarSettings mSettings;
   const PlatformProtocol& mProtocol;
-  gateway::ReadSchedule mReadSchedule =
-    gateway::MakeReadSchedule(mSettings.mPropagationLimit,
-                              kOperatorRowsBatchDelay);
+  gateway::FollowSchedule mFollowSchedule =
+    gateway::MakeFollowSchedule(mSettings.mPropagationLimit,
+                                kOperatorRowsBatchDelay);
   Random mRandom = SeededFromSystem();
   EventLog mLog;
   SidecarMetrics mMetrics;
@@ -110,9 +110,9 @@
   /** The follow state that each node of the own region last reported. */
   std::map<std::string, gateway::FollowState> mFollowStates;
   gateway::FollowerElection mFollowerElection{
-    { .mTakeoverTime = mReadSchedule.mTakeoverTime }
+    { .mTakeoverTime = mFollowSchedule.mTakeoverTime }
   };
-  gateway::StoreConfirmations mConfirmations{ mReadSchedule };
+  gateway::StoreConfirmations mConfirmations{ mFollowSchedule };
   /** Whether the newest confirmation of the region was too old at the last
    *  tick. */
   bool mConfirmationsOverdue = false;
--- a/libs/sidecar/src/SidecarMessages.cpp
+++ b/libs/sidecar/src/SidecarMessages.cpp
@@ -234,7 +234,7 @@
     const auto before =
       std::exchange(mFollowStates[aNode], aMessage.mFollowState);
     if (aMessage.mFollowState == gateway::FollowState::Working) {
-      mConfirmations.OnReader(aNode, BootNow());
+      mConfirmations.OnFollower(aNode, BootNow());
     }
     if (before != aMessage.mFollowState &&
         aMessage.mFollowState == gateway::FollowState::Working) {
--- a/libs/sidecar/src/SidecarTenants.cpp
+++ b/libs/sidecar/src/SidecarTenants.cpp
@@ -86,7 +86,7 @@
     return false;
   }
   const std::optional<Millis> overdueFor = mConfirmations.OverdueFor(BootNow());
-  if (overdueFor && *overdueFor >= mReadSchedule.mTakeoverTime * 0.5) {
+  if (overdueFor && *overdueFor >= mFollowSchedule.mTakeoverTime * 0.5) {
     return true;
   }
   if (!HasTenants()) {
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -110,12 +110,12 @@
     mLog.WriteStateChange(
       "store",
       overdueFor ? "confirmations_overdue" : "confirmations_recent",
-      { { "max_age_ms", mReadSchedule.mMaxAge.WholeMillis() },
+      { { "max_age_ms", mFollowSchedule.mMaxAge.WholeMillis() },
         { "state_version", StateVersion() },
         { "follows", mSync.IsFollowing() } });
   }
   const bool takeover =
-    overdueFor && *overdueFor < mReadSchedule.mTakeoverTime + kLoadPeriod;
+    overdueFor && *overdueFor < mFollowSchedule.mTakeoverTime + kLoadPeriod;
   const bool loadDue = now - mLastLoadCheck >= kLoadPeriod;
   if (takeover || loadDue) {
     UpdateFollowerRole(now);
