--- a/libs/gateway/src/StoreConfirmations.cpp
+++ b/libs/gateway/src/StoreConfirmations.cpp
@@ -14,7 +14,7 @@
  *  its answer may be late. */
 constexpr double kWaitFraction = 1.0 / 3;
 constexpr double kLatenessFraction = 1.0 / 5;
-/** Followers without news for this many times mMaxAge are forgotten. */
+/** Followers without a confirmation for this many times mMaxAge are removed. */
 constexpr double kRetention = 20;
 
 } // namespace
--- a/libs/sidecar/include/sidecar/PeerMessages.h
+++ b/libs/sidecar/include/sidecar/PeerMessages.h
@@ -154,7 +154,7 @@
   bool operator==(const RecordCopiedMessage&) const = default;
 };
 
-/** Tells a node which of its targets have left, as far as the sender knows.
+/** The targets of the receiver that have left, as far as the sender knows.
  * Only sent by nodes that know what earlier processes of all nodes have
  *  published. */
 struct LeftTargetsMessage
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -113,8 +113,8 @@
     { .mTakeoverTime = mFollowSchedule.mTakeoverTime }
   };
   gateway::StoreConfirmations mConfirmations{ mFollowSchedule };
-  /** Whether the newest confirmation of the region was too old at the last
-   *  tick. */
+  /** Whether the last tick found that the newest confirmation of the region
+   *  was older than FollowSchedule::mMaxAge. */
   bool mConfirmationsOverdue = false;
   /** When this node reads the desired state from the store if it has not
    *  received one from another node by then. */
@@ -259,8 +259,8 @@
   /** Handles that this node knows which of its targets have left. */
   void OnLeftTargetsKnown();
   void OnLeftTargets(const LeftTargetsMessage& aMessage);
-  /** Tells a node that has sent its record that this node keeps it, and what is
-   *  known here of earlier processes of that node. */
+  /** Confirms the copy of a node's own record, and sends the node the left
+   *  targets that its earlier processes have published. */
   void AnswerRecord(LinkId aLink, const gateway::NodeRecord& aRecord);
   [[nodiscard]] bool Ready() const;
   void Tick();
--- a/libs/sidecar/src/SidecarLeaves.cpp
+++ b/libs/sidecar/src/SidecarLeaves.cpp
@@ -100,7 +100,7 @@
   for (const HeldCheckIn& held : std::exchange(mHeldCheckIns, {})) {
     ApplyCheckIn(held.mExchange, held.mCheckIn);
   }
-  // Other nodes that have just started may have found no one who knows.
+  // Nodes that started meanwhile may have no answer from any node yet.
   for (const auto& [name, dataCentre] : mTargets.Nodes().DataCentres()) {
     for (const auto& [node, record] : dataCentre.mNodes) {
       if (!record->mTarget && record->mNode != mSettings.mName &&
