--- a/review/harness3.py
+++ b/review/harness3.py
@@ -489,7 +489,11 @@
             cwd=ROOT,
             stdout=log,
             stderr=log,
-            env={"PATH": os.environ["PATH"], "PAPAYAWAY_NODE_FILE": str(path)},
+            env={
+                "PATH": os.environ["PATH"],
+                "PAPAYAWAY_NODE_FILE": str(path),
+                "PAPAYAWAY_SIDECAR_LIMITS": self.deployment.limits,
+            },
         )
         log.close()
         self.deployment.record(f"node {self.name} started, process {self.process.pid}")
@@ -547,6 +551,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix="papayaway-review-")
         self.folder = self.temporary.name
         self.store = Store(self.record)
+        self.limits = "\n"  # PAPAYAWAY_SIDECAR_LIMITS of the deploy file
         self.nodes = []
         self.endpoints = []
 
