--- a/review/harness3.py
+++ b/review/harness3.py
@@ -1,7 +1,7 @@
 """Stand-ins for the scripts of review 3: the platform's store, endpoints,
 requesters, and the sidecar processes of a small deployment.
 
-Everything listens on 127.0.0.1. The store follows PROTOCOL.md ("The platform's
+Everything listens on one loopback address, another one for each script. The store follows PROTOCOL.md ("The platform's
 metadata store") and letter 10 (Store-Era)."""
 
 import asyncio
@@ -21,6 +21,11 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+# An address of its own for each script, so that scripts that run at the same time
+# don't take each other's ports.
+HOST = f"127.{1 + os.getpid() // 65536 % 250}.{os.getpid() // 256 % 256}.{1 + os.getpid() % 254}"
+
+
 class CannotRun(Exception):
     """The case could not run (exit code 2)."""
 
@@ -55,7 +60,7 @@
         port = random.randrange(10000, 32000)
         try:
             with socket.socket() as sock:
-                sock.bind(("127.0.0.1", port))
+                sock.bind((HOST, port))
         except OSError:
             continue
         if port not in _ports:
@@ -124,11 +129,11 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{HOST}:{self.port}"
 
     async def start(self):
         self.server = await asyncio.start_server(
-            self.serve, "127.0.0.1", self.port, limit=1 << 22
+            self.serve, HOST, self.port, limit=1 << 22
         )
 
     async def go_away(self):
@@ -313,7 +318,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{HOST}:{self.port}"
 
     async def start(self):
         self.started_count += 1
@@ -322,7 +327,7 @@
         self.sequence = 0
         self.state = "ready"
         self.server = await asyncio.start_server(
-            self.serve, "127.0.0.1", self.port, limit=1 << 22
+            self.serve, HOST, self.port, limit=1 << 22
         )
         self.beat_task = asyncio.create_task(self.beats())
 
@@ -480,7 +485,7 @@
         self.deployment, self.name, self.zone, self.region = deployment, name, zone, region
         self.service, self.bounds = service, bounds
         self.caller, self.admin, self.readiness = (
-            f"127.0.0.1:{free_port()}" for _ in range(3)
+            f"{HOST}:{free_port()}" for _ in range(3)
         )
         self.ports = [free_port(), free_port()]
         self.process = None
@@ -496,7 +501,7 @@
             "bind.outbound": self.caller,
             "bind.admin": self.admin,
             "bind.readiness": self.readiness,
-            "ip": "127.0.0.1",
+            "ip": HOST,
             "internal_ports.0": str(self.ports[0]),
             "internal_ports.1": str(self.ports[1]),
             "local_app": endpoint.address,
