Don't take a rollout back for time when no other version is left

Cause: a rollout that had not reached its last stage when its period was over was always rolled back; nothing in the inputs said whether targets of another version could take the requests.

Why it works: the time alone takes a version back only if a target of another version is ready. If none was for 6 s and the new one is ready, it gets all requests. A node that reaches less than half of the nodes that it once reached can't tell, and decides nothing from it. Faults still take a version back.

--- a/libs/gateway/include/gateway/Rollout.h
+++ b/libs/gateway/include/gateway/Rollout.h
@@ -218,7 +218,8 @@
   double mSlowFactor = 4;
   /** A rollout that has not reached the last stage after this fraction of the
    *  period is rolled back, because there is no time left to increase the share
-   *  safely. */
+   *  safely. It is not if no target of another version could take the
+   *  requests. */
   double mMaxPeriodFraction = 0.95;
 };
 
@@ -239,6 +240,10 @@
   bool mOldTargetsIdle = false;
   /** Whether a target of the new version is ready. */
   bool mNewTargetReady = false;
+  /** Whether a target of another version is ready. */
+  bool mOldTargetReady = false;
+  /** Whether none of them has been ready for so long that none will be. */
+  bool mOldTargetsGone = false;
 };
 
 /**
--- a/libs/gateway/src/Rollout.cpp
+++ b/libs/gateway/src/Rollout.cpp
@@ -332,7 +332,15 @@
   const Millis age = aView.mNow - next.mStarted;
   const Millis stageAge = aView.mNow - aView.mProgress->mStageStarted;
   const bool isLastStage = next.mStage + 1 == kStageShares.size();
+  if (aView.mOldTargetsGone && aView.mNewTargetReady && !isLastStage) {
+    next.mStage = kStageShares.size() - 1;
+    next.mReason = "no target of another version is left";
+    return next;
+  }
   if (age > aOrder.mPeriod * aPolicy.mMaxPeriodFraction && !isLastStage) {
+    if (!aView.mOldTargetReady) {
+      return std::nullopt;
+    }
     next.mState = RolloutState::RolledBack;
     next.mReason = "the period ended before the version was proved good";
     return next;
--- a/libs/gateway/tests/RolloutTest.cpp
+++ b/libs/gateway/tests/RolloutTest.cpp
@@ -61,7 +61,8 @@
                   { .mProgress = aProgress,
                     .mNow = aNow,
                     .mOldTargetsIdle = aOldIdle,
-                    .mNewTargetReady = true },
+                    .mNewTargetReady = true,
+                    .mOldTargetReady = true },
                   aEvidence,
                   {});
 }
@@ -221,6 +222,28 @@
   EXPECT_FALSE(next->IsWithdrawn("v2"));
 }
 
+// Guards against a version that is taken back for time alone when nothing else
+// could serve, and against one that gets all requests because the targets of
+// the others are not known yet.
+TEST(Rollout, VersionWithoutAlternativeIsNotRolledBackForTime)
+{
+  const RolloutView late{ .mProgress = ProgressAtStage(1, {}),
+                          .mNow = Seconds(60),
+                          .mNewTargetReady = true };
+  EXPECT_FALSE(NextStep(kOrder, late, EvidenceOfHealthyOldVersion(), {}));
+  RolloutView alternative = late;
+  alternative.mOldTargetReady = true;
+  EXPECT_EQ(
+    NextStep(kOrder, alternative, EvidenceOfHealthyOldVersion(), {})->mState,
+    RolloutState::RolledBack);
+  RolloutView alone = late;
+  alone.mOldTargetsGone = true;
+  const auto next = NextStep(kOrder, alone, EvidenceOfHealthyOldVersion(), {});
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->mStage, kStageShares.size() - 1);
+  EXPECT_EQ(next->mState, RolloutState::Running);
+}
+
 // Guards against progress of an earlier order that a copy of the store brings
 // back, and against an order that is taken for a new one because it was written
 // again.
--- a/libs/sidecar/include/sidecar/RolloutAgent.h
+++ b/libs/sidecar/include/sidecar/RolloutAgent.h
@@ -31,6 +31,9 @@
   std::function<void(const PeerMessage&)> mBroadcast;
   /** Sends the run counts of this node to the nodes that evaluate them. */
   std::function<void(const EvidenceMessage&)> mSendEvidence;
+  /** @return whether this node reaches so few others that it can't tell which
+   *    targets are left. */
+  std::function<bool()> mIsIsolated;
 };
 
 /**
@@ -111,6 +114,9 @@
      *  rollback that is in effect on this node; nullopt if it has it. */
     std::optional<Millis> mUnstoredSince;
     Millis mLastRewriteAt;
+    /** When a target of another version was last ready, or this node could not
+     *  tell; nullopt before the first step is considered. */
+    std::optional<Millis> mOldTargetSeenAt;
   };
 
   /** @return whether there is an order whose rollout has neither succeeded nor
--- a/libs/sidecar/src/RolloutAgent.cpp
+++ b/libs/sidecar/src/RolloutAgent.cpp
@@ -17,6 +17,9 @@
 constexpr Millis kRankDelay{ 350 };
 /** A write is retried after this time if the progress has not changed. */
 constexpr Millis kWriteRetryDelay{ 1200 };
+/** If no target of another version has been ready for this long, none will be.
+ *  Longer than a process takes to start and to link to the others. */
+constexpr Millis kOldTargetsGoneAfter = Seconds(6);
 
 OrderAge
 AgeOf(const RolloutOrder& aOrder, const RolloutProgress& aProgress)
@@ -98,6 +101,9 @@
   }
   rollout.mOrder = aOrder;
   rollout.mStepDue = false;
+  if (age == OrderAge::Newer) {
+    rollout.mOldTargetSeenAt.reset();
+  }
   Renumber(rollout);
 }
 
@@ -262,14 +268,23 @@
     return;
   }
   const RolloutOrder order = *aRollout.mOrder;
+  const bool oldTargetReady =
+    mDependencies.mTargets.HasReadyTarget(aService, order.mVersion, true);
+  if (oldTargetReady || !aRollout.mOldTargetSeenAt ||
+      mDependencies.mIsIsolated()) {
+    aRollout.mOldTargetSeenAt = aNow;
+  }
   const auto next = gateway::NextStep(
     order,
     { .mProgress = aRollout.mProgress,
       .mNow = storeNow,
       .mOldTargetsIdle =
         mDependencies.mTargets.OtherVersionsIdle(aService, order.mVersion),
-      .mNewTargetReady = mDependencies.mTargets.HasReadyTarget(
-        aService, order.mVersion, false) },
+      .mNewTargetReady =
+        mDependencies.mTargets.HasReadyTarget(aService, order.mVersion, false),
+      .mOldTargetReady = oldTargetReady,
+      .mOldTargetsGone =
+        aNow - *aRollout.mOldTargetSeenAt >= kOldTargetsGoneAfter },
     mEvidence,
     mPolicy);
   if (!next) {
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -75,7 +75,8 @@
         .mSendEvidence =
           [this](const EvidenceMessage& aMessage) {
             OnEvidence(mSettings.mName, aMessage);
-          } })
+          },
+        .mIsIsolated = [this] { return IsIsolated(); } })
   , mCrashes(
       aSettings.mName,
       [this](const PeerMessage& aMessage) {
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -107,6 +107,8 @@
   SentLoads mLoadsSentInDataCentre;
   SentLoads mLoadsSentInRegion;
   SentLoads mLoadsSentToOtherRegions;
+  /** The nodes of the own data centre that this process has reached. */
+  std::set<std::string> mReachedNodes;
   /** The follow state that each node of the own region last reported. */
   std::map<std::string, gateway::FollowState> mFollowStates;
   gateway::FollowerElection mFollowerElection{
@@ -326,6 +328,9 @@
                                      Millis aNow) const;
   /** @return whether the node is known to be in the own data centre. */
   [[nodiscard]] bool InOwnDataCentre(const std::string& aNode) const;
+  /** @return whether this node reaches less than half of the nodes of its data
+   *    centre that it once reached and that have not left. */
+  [[nodiscard]] bool IsIsolated() const;
   /** @return whether the node is known to be in the own region. */
   [[nodiscard]] bool InOwnRegion(const std::string& aNode) const;
   /** @return the relay of a data centre, which exchanges messages with other
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -76,6 +76,22 @@
   }
 }
 
+bool
+Sidecar::Impl::IsIsolated() const
+{
+  const Millis now = SteadyNow();
+  std::size_t known = 0;
+  std::size_t reached = 0;
+  for (const auto& [node, record] :
+       mTargets.Nodes().InDataCentre(mSettings.mDataCentre)) {
+    if (mReachedNodes.contains(record->mNode)) {
+      ++known;
+      reached += mMesh.Reachable(record->mNode, now) ? 1 : 0;
+    }
+  }
+  return reached * 2 < known;
+}
+
 std::string
 Sidecar::Impl::RelayOf(const std::string& aDataCentre) const
 {
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -123,6 +123,12 @@
   }
   if (loadDue) {
     mLastLoadCheck = now;
+    for (const auto& [node, record] :
+         mTargets.Nodes().InDataCentre(mSettings.mDataCentre)) {
+      if (mMesh.Reachable(record->mNode, now)) {
+        mReachedNodes.insert(record->mNode);
+      }
+    }
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
