Give the role of a link node to nodes that are alive

Cause: the link nodes of a data centre were the first three by name of all known records, and a lost host never leaves these. So no running node kept a link to another data centre, and no load of a target there arrived.

LinkTopology.LostLinkNodesAreReplaced loses up to 15 of 16 nodes in one or in all of eight data centres at once.

Why it works: a node that can't be reached keeps its role for 2 s and then loses it to the next one by name; it returns after 5 s without interruption, so that a slow node does not take turns with others. Nodes of the own data centre are all linked, which tells who is alive. For another data centre, a link node tries twice as many nodes every 2 s, up to 24, while it reaches none of those it tries. Links that are no longer wanted close when no calls use them. The relay of the own data centre must be alive in the same sense.

LinkTopologyTest passes who can be reached and the time, which Update() takes now; its checks are the same.

--- a/libs/gateway/tests/LinkTopologyTest.cpp
+++ b/libs/gateway/tests/LinkTopologyTest.cpp
@@ -1,6 +1,9 @@
 #include <gateway/LinkTopology.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -12,6 +15,8 @@
 constexpr int kRegions = 2;
 constexpr int kDataCentresPerRegion = 4;
 
+const auto kAllReachable = [](const std::string&) { return true; };
+
 /** Eight data centres in two regions with the same number of nodes each. */
 class Fleet
 {
@@ -36,7 +41,7 @@
     LinkTopology topology({ .mNode = aRecord.mNode,
                             .mDataCentre = aRecord.mDataCentre,
                             .mRegion = aRecord.mRegion });
-    topology.Update(mNodes);
+    topology.Update(mNodes, kAllReachable, Millis{});
     return topology;
   }
 
@@ -120,13 +125,160 @@
   NodeRecord leaving = *fleet.mNodes.Find("dc-2-0");
   LinkTopology topology = fleet.TopologyOf(*fleet.mNodes.Find("dc-2-3"));
   EXPECT_FALSE(topology.IsLinkNode());
-  EXPECT_FALSE(topology.Update(fleet.mNodes));
+  EXPECT_FALSE(topology.Update(fleet.mNodes, kAllReachable, Millis{}));
   ++leaving.mSequence;
   leaving.mLeaving = true;
   fleet.mNodes.Merge(leaving);
-  EXPECT_TRUE(topology.Update(fleet.mNodes));
+  EXPECT_TRUE(topology.Update(fleet.mNodes, kAllReachable, Millis{}));
   EXPECT_TRUE(topology.IsLinkNode());
 }
 
+/** The topologies of all nodes of a fleet of which some are lost. Two nodes are
+ *  linked when one of them keeps a link to the other and both run. */
+class LossSimulation
+{
+public:
+  explicit LossSimulation(const Fleet& aFleet)
+    : mFleet(aFleet)
+  {
+    for (const auto& [node, record] : aFleet.mNodes.All()) {
+      mTopologies.emplace(node,
+                          LinkTopology({ .mNode = record.mNode,
+                                         .mDataCentre = record.mDataCentre,
+                                         .mRegion = record.mRegion }));
+    }
+    Run(Seconds(2));
+  }
+
+  void Run(Millis aTime)
+  {
+    for (const Millis end = mNow + aTime; mNow < end; mNow += Millis{ 200 }) {
+      std::map<std::string, std::set<std::string>> linked;
+      for (const auto& [node, topology] : mTopologies) {
+        for (const auto& [peer, address] : topology.Peers()) {
+          if (!mLost.contains(node) && !mLost.contains(peer)) {
+            linked[node].insert(peer);
+            linked[peer].insert(node);
+          }
+        }
+      }
+      for (auto& [node, topology] : mTopologies) {
+        if (!mLost.contains(node)) {
+          topology.Update(
+            mFleet.mNodes,
+            [&](const std::string& aPeer) {
+              return linked[node].contains(aPeer);
+            },
+            mNow);
+        }
+      }
+      mLinked = std::move(linked);
+    }
+  }
+
+  /** @return whether the first running node by name of each data centre has a
+   *    link to that of each other one. */
+  [[nodiscard]] bool RelaysAreLinked() const
+  {
+    std::map<std::string, std::string> relays;
+    for (const auto& [node, record] : mFleet.mNodes.All()) {
+      if (!mLost.contains(node)) {
+        relays.emplace(record.mDataCentre, node);
+      }
+    }
+    for (const auto& [one, relay] : relays) {
+      for (const auto& [other, otherRelay] : relays) {
+        if (one != other && !mLinked.at(relay).contains(otherRelay)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  const LinkTopology& Of(const std::string& aNode) const
+  {
+    return mTopologies.at(aNode);
+  }
+
+  std::set<std::string> mLost;
+
+private:
+  const Fleet& mFleet;
+  std::map<std::string, LinkTopology> mTopologies;
+  std::map<std::string, std::set<std::string>> mLinked;
+  Millis mNow;
+};
+
+// Guards against a data centre that is cut off because lost nodes keep the role
+// of its link nodes (review/14): any number of nodes is lost at once, in one or
+// in all data centres.
+TEST(LinkTopology, LostLinkNodesAreReplaced)
+{
+  for (const bool everywhere : { false, true }) {
+    for (const int lost : { 1, 3, 4, 9, 15 }) {
+      const Fleet fleet(16);
+      LossSimulation simulation(fleet);
+      ASSERT_TRUE(simulation.RelaysAreLinked());
+      for (const auto& [node, record] : fleet.mNodes.All()) {
+        const std::size_t number =
+          std::stoul(node.substr(record.mDataCentre.size() + 1));
+        if (number < static_cast<std::size_t>(lost) &&
+            (everywhere || record.mDataCentre == "dc-2")) {
+          simulation.mLost.insert(node);
+        }
+      }
+      simulation.Run(Seconds(10));
+      EXPECT_TRUE(simulation.RelaysAreLinked()) << lost << everywhere;
+    }
+  }
+}
+
+// Guards against roles that change hands with each short silence of a slow
+// node, and against links that stay open after a search.
+TEST(LinkTopology, SlowLinkNodeDoesNotTakeTurns)
+{
+  const Fleet fleet(5);
+  LossSimulation simulation(fleet);
+  for (int i = 0; i < 10; ++i) {
+    simulation.mLost = { "dc-2-0" };
+    simulation.Run(Millis{ 1600 });
+    EXPECT_FALSE(simulation.Of("dc-2-3").IsLinkNode());
+    simulation.mLost.clear();
+    simulation.Run(Millis{ 600 });
+  }
+  int changes = 0;
+  bool before = false;
+  for (int i = 0; i < 10; ++i) {
+    simulation.mLost = { "dc-2-0" };
+    simulation.Run(Seconds(3));
+    changes +=
+      std::exchange(before, simulation.Of("dc-2-3").IsLinkNode()) != before;
+    simulation.mLost.clear();
+    simulation.Run(Seconds(3));
+    changes +=
+      std::exchange(before, simulation.Of("dc-2-3").IsLinkNode()) != before;
+  }
+  EXPECT_EQ(changes, 1);
+  simulation.Run(Seconds(6));
+  EXPECT_FALSE(simulation.Of("dc-2-3").IsLinkNode());
+  EXPECT_EQ(simulation.Of("dc-2-0").Peers().size(), 4U + 7 * 3);
+}
+
+// Guards against a process that was stopped itself and takes all others for
+// lost when it goes on.
+TEST(NodeLiveness, OwnStopSaysNothingOfTheOthers)
+{
+  NodeLiveness liveness;
+  liveness.BeginObservations(Millis{});
+  liveness.Observe("n", true, Millis{});
+  liveness.BeginObservations(Seconds(20));
+  liveness.Observe("n", false, Seconds(20));
+  EXPECT_TRUE(liveness.IsAlive("n"));
+  liveness.BeginObservations(Seconds(20.5));
+  liveness.Observe("n", false, Seconds(22.5));
+  EXPECT_FALSE(liveness.IsAlive("n"));
+}
+
 } // namespace
 } // namespace papayaway::gateway
--- a/libs/sidecar/src/PeerMesh.cpp
+++ b/libs/sidecar/src/PeerMesh.cpp
@@ -164,11 +164,23 @@
 void
 PeerMesh::SetPersistentPeers(const std::map<std::string, std::string>& aNodes)
 {
+  const Millis now = SteadyNow();
   std::erase_if(mPersistentPeers, [&](const auto& aEntry) {
     const auto found = aNodes.find(aEntry.first);
-    return found == aNodes.end() || found->second != aEntry.second.mAddress;
+    if (found != aNodes.end() && found->second == aEntry.second.mAddress) {
+      return false;
+    }
+    // The link is closed if no calls use it.
+    const auto links = mByNode.find(aEntry.first);
+    if (links != mByNode.end()) {
+      for (const LinkId id : links->second) {
+        Link& link = mLinks.at(id);
+        link.mOnDemand = true;
+        link.mLastUsed = now;
+      }
+    }
+    return true;
   });
-  const Millis now = SteadyNow();
   for (const auto& [node, address] : aNodes) {
     const bool opensFirst = mOptions.mNode < node;
     mPersistentPeers.try_emplace(
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -107,8 +107,6 @@
   SentLoads mLoadsSentInDataCentre;
   SentLoads mLoadsSentInRegion;
   SentLoads mLoadsSentToOtherRegions;
-  /** The nodes of the own data centre that this process has reached. */
-  std::set<std::string> mReachedNodes;
   /** The follow state that each node of the own region last reported. */
   std::map<std::string, gateway::FollowState> mFollowStates;
   gateway::FollowerElection mFollowerElection{
@@ -194,7 +192,7 @@
   /** Sends a changed operator row to the nodes of the data centre and to link
    *  nodes of the other data centres of the region. */
   void BroadcastOperatorRow(const Row& aOld, const Row& aRow);
-  /** Sends to the first reachable link nodes of a data centre. */
+  /** Sends to the first nodes of another data centre that are linked. */
   void SendToLinkNodes(const std::string& aDataCentre,
                        const PeerMessage& aMessage);
   /** Puts the newest known desired state in force unless the last one was put
@@ -335,7 +333,8 @@
   [[nodiscard]] bool InOwnRegion(const std::string& aNode) const;
   /** @return the relay of a data centre, which exchanges messages with other
    *    data centres on its behalf: the first by name of its nodes that this
-   *    node can reach, or "" if there is none. */
+   *    node can reach, or "" if there is none. In the own data centre it must
+   *    also be alive, so that a slow node does not take turns with the next. */
   [[nodiscard]] std::string RelayOf(const std::string& aDataCentre) const;
   /** @return whether this node is the relay of its data centre. */
   [[nodiscard]] bool IsRelay() const;
--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -71,8 +71,18 @@
 void
 Sidecar::Impl::UpdateLinks()
 {
-  if (mTopology.Update(mTargets.Nodes())) {
-    mMesh.SetPersistentPeers(mTopology.Peers());
+  const Millis now = SteadyNow();
+  const auto isReachable = [this, now](const std::string& aNode) {
+    return mMesh.Reachable(aNode, now);
+  };
+  const bool wasLinkNode = mTopology.IsLinkNode();
+  if (!mTopology.Update(mTargets.Nodes(), isReachable, now)) {
+    return;
+  }
+  mMesh.SetPersistentPeers(mTopology.Peers());
+  if (mTopology.IsLinkNode() != wasLinkNode) {
+    mLog.WriteStateChange(
+      "mesh", "link_node", { { "is_link_node", !wasLinkNode } });
   }
 }
 
@@ -84,7 +94,7 @@
   std::size_t reached = 0;
   for (const auto& [node, record] :
        mTargets.Nodes().InDataCentre(mSettings.mDataCentre)) {
-    if (mReachedNodes.contains(record->mNode)) {
+    if (mTopology.OwnDataCentreLiveness().WasReached(node)) {
       ++known;
       reached += mMesh.Reachable(record->mNode, now) ? 1 : 0;
     }
@@ -98,8 +108,10 @@
   const Millis now = SteadyNow();
   for (const auto& [node, record] :
        mTargets.Nodes().InDataCentre(aDataCentre)) {
+    const bool mayRelay =
+      aDataCentre != mSettings.mDataCentre || mTopology.IsAlive(record->mNode);
     if (record->mNode == mSettings.mName ||
-        mMesh.Reachable(record->mNode, now)) {
+        (mayRelay && mMesh.Reachable(record->mNode, now))) {
       return record->mNode;
     }
   }
@@ -282,9 +294,11 @@
 {
   const Millis now = SteadyNow();
   std::size_t sent = 0;
-  for (const std::string& node : mTopology.LinkNodes(aDataCentre)) {
-    if (sent < kRowCopiesPerDataCentre && mMesh.Reachable(node, now)) {
-      mMesh.Send(node, aMessage);
+  // Link nodes come first by name; others are linked if these were lost.
+  for (const auto& [node, record] :
+       mTargets.Nodes().InDataCentre(aDataCentre)) {
+    if (sent < kRowCopiesPerDataCentre && mMesh.Reachable(record->mNode, now)) {
+      mMesh.Send(record->mNode, aMessage);
       ++sent;
     }
   }
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -94,10 +94,11 @@
       "node", "loop_delayed", { { "lag_ms", lag.WholeMillis() } });
   }
   mLastTick = now;
-  UpdateLinks();
   ApplyPendingState(now);
   mFreshness.OnTick(BootNow());
+  // After a freeze, this resets the times by which nodes count as reachable.
   mMesh.Tick(now);
+  UpdateLinks();
   mCaps.Tick();
   mLeaves.OnTick(now);
   RefuseHeldCheckIns(now);
@@ -123,12 +124,6 @@
   }
   if (loadDue) {
     mLastLoadCheck = now;
-    for (const auto& [node, record] :
-         mTargets.Nodes().InDataCentre(mSettings.mDataCentre)) {
-      if (mMesh.Reachable(record->mNode, now)) {
-        mReachedNodes.insert(record->mNode);
-      }
-    }
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
