Don't count lost and departed nodes for good

After 8 releases of 4 hosts a tenant within its cap was served 68 of 540 requests. Each process that started read the records of all hosts that ever were.

Cause: each of N known nodes lends 1/N of the caps, and N counted all records, also of nodes that have left. Nothing removed the record of a host that was lost.

Evidence: on the old code UsageCaps.CapIsWholeAgainAfterNodesHaveLeft failed (share of one of four nodes below 0.95 until 40 s after the others left). It passes now, as does LostHosts.StoredRecordIsRemovedInTheEnd.

Why it works: a node that announced its stop lends nothing once its grace period is over, so after 15 s it does not count. The record of a node that has been gone for 60 s is removed by the relay of its data centre, if its row has not changed since and the relay reaches at least half of the nodes that it once reached. Nodes that read the table forget it then, unless they are linked to it; a host that returns writes its record again.

The crashes that a node keeps are written again without the usual interval after a drill.

--- a/libs/gateway/include/gateway/CapNode.h
+++ b/libs/gateway/include/gateway/CapNode.h
@@ -49,7 +49,7 @@
 struct CapView
 {
   /** The number of known nodes, including this one and nodes that can't be
-   *  reached. */
+   *  reached, but without those that have stopped for good. */
   std::size_t mNodes = 1;
   /** @return how many nodes that this node can reach come before it in the
    *    order in which nodes take over from a silent coordinator. */
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -39,6 +39,9 @@
    *  or that there are none, after they were merged. Receives the time (of
    *  BootNow()) up to which the answer contains all changes. */
   std::function<void(Millis)> mOperatorRowsMerged;
+  /** Called with the name of another node whose stored record was removed
+   *  because its host is gone. */
+  std::function<void(const std::string&)> mRecordRemoved;
   /** Called with the stored record of another node. */
   std::function<void(const gateway::NodeRecord&)> mRecordRead;
   /** Called with rollout progress that was read from or written to the store.
@@ -183,6 +186,10 @@
     return mStoredRecord ? mStoredRecord->mLeft == aLeft : aLeft.empty();
   }
 
+  /** Removes the stored records of nodes whose hosts are gone, unless they have
+   *  been written again in the meantime. */
+  void RemoveRecords(const std::vector<std::string>& aNodes);
+
   /** Called when a linked node has reported that the store answers again. */
   void OnStoreRecovered();
 
@@ -235,7 +242,8 @@
                      std::optional<std::uint64_t> aSentInEra,
                      Result aResult);
   void OnNewEra(std::uint64_t aEra);
-  /** Marks the rows that a read of the nodes' table did not find as absent. */
+  /** Marks the rows that a read of the nodes' table did not find as absent.
+   *  Those that were there earlier in this era were removed. */
   void ResetAbsentRows(const RowList& aList);
   /** @return a random delay that grows with the number of failures. */
   [[nodiscard]] Millis RetryDelay(Millis aMaxDelay);
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -199,6 +199,8 @@
             OnOperatorRowsRead(aList, aWholeTable);
           },
         .mOperatorRowsMerged = [this](Millis aAt) { OnStoreConfirmed(aAt); },
+        .mRecordRemoved =
+          [this](const std::string& aNode) { OnRecordRemoved(aNode); },
         .mRecordRead =
           [this](const NodeRecord& aRecord) { OnRecord(aRecord, ""); },
         .mProgressStored =
--- a/libs/sidecar/src/SidecarCaps.cpp
+++ b/libs/sidecar/src/SidecarCaps.cpp
@@ -43,7 +43,7 @@
 Sidecar::Impl::ViewForCaps()
 {
   const Millis now = SteadyNow();
-  const std::size_t nodes = mTargets.Nodes().All().size();
+  const std::size_t nodes = mCapLenders;
   if (nodes >= mCapNodes || now - mCapNodesSeenAt >= kRemovedNodeCounts) {
     mCapNodes = nodes;
     mCapNodesSeenAt = now;
--- a/libs/sidecar/src/SidecarImpl.h
+++ b/libs/sidecar/src/SidecarImpl.h
@@ -98,6 +98,11 @@
    *  starts while the newest row is malformed gets it from here. */
   std::optional<Row> mReplacedState;
   Millis mStarted;
+  /** Since when the nodes that announced that they stop have not returned. */
+  std::map<std::string, Millis> mLeavingSince;
+  /** The number of nodes that may lend a part of the usage caps. */
+  std::size_t mCapLenders = 1;
+  Millis mLastRemoval;
   /** The number of nodes among which the usage caps are divided, and when there
    *  were last that many. */
   std::size_t mCapNodes = 0;
@@ -181,6 +186,13 @@
   /** Merges the record of a node and forwards it if it is newer.
    *  @param aFrom the node that sent it, or "" if it came from the store. */
   void OnRecord(const gateway::NodeRecord& aRecord, const std::string& aFrom);
+  /** Forgets a node whose stored record was removed, unless it is linked. */
+  void OnRecordRemoved(const std::string& aNode);
+  /** Updates mLeavingSince and mCapLenders. */
+  void UpdateLeavingNodes(Millis aNow);
+  /** As the relay, removes the stored records of the nodes of the own data
+   *  centre that have been gone for long. */
+  void RemoveLostNodes(Millis aNow);
   /** Handles a record of this node that came from the store or another node,
    *  which an earlier process may have written. */
   void OnOwnRecordReceived(const gateway::NodeRecord& aRecord);
--- a/libs/sidecar/src/SidecarTick.cpp
+++ b/libs/sidecar/src/SidecarTick.cpp
@@ -124,6 +124,8 @@
   }
   if (loadDue) {
     mLastLoadCheck = now;
+    UpdateLeavingNodes(now);
+    RemoveLostNodes(now);
     if (!mRoutingTable && now >= mDirectReadAt && !mSettings.mFirstStart) {
       mSync.ReadOperatorRowsOnce();
     }
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -19,6 +19,10 @@
 constexpr std::string_view kRolloutPrefix = "rollout/";
 constexpr std::string_view kQuarantinePrefix = "quarantine/";
 
+/** The most records that are removed by one change. A change has at most 100
+ *  entries. */
+constexpr std::size_t kMaxRemovedRecords = 40;
+
 /** Nodes that do not follow the operator rows read the nodes' table this many
  *  times less often. */
 constexpr double kNonFollowerPeriodFactor = 3;
@@ -486,10 +490,50 @@
   }
   for (auto& [key, version] : mRowVersions) {
     // A row that was written after the read is not absent.
-    if (version <= aList.mVersion && !present.contains(key)) {
-      version = {};
+    if (version > aList.mVersion || present.contains(key)) {
+      continue;
+    }
+    const bool removed =
+      version.Exists() && version.Era() == aList.mVersion.Era();
+    version = {};
+    if (removed && key.starts_with(kNodePrefix) &&
+        key.substr(kNodePrefix.size()) != mOptions.mNode) {
+      mHandlers.mRecordRemoved(key.substr(kNodePrefix.size()));
+    }
+  }
+}
+
+void
+StoreSync::RemoveRecords(const std::vector<std::string>& aNodes)
+{
+  StoreChange change;
+  for (const std::string& node : aNodes) {
+    const std::string key = std::string(kNodePrefix) + node;
+    const auto version = mRowVersions.find(key);
+    if (version != mRowVersions.end() && version->second.Exists() &&
+        change.mDeletes.size() < kMaxRemovedRecords) {
+      const Row row{ .mTable = kNodesTable,
+                     .mKey = key,
+                     .mVersion = version->second };
+      change.mConditions.push_back(row);
+      change.mDeletes.push_back(row);
     }
   }
+  if (change.mDeletes.empty() || !mRowVersionKnown) {
+    return;
+  }
+  mStore.Commit(change, [this, change, era = mEra](Result aAnswer) {
+    const Result result =
+      CheckResult("write_removals", era, std::move(aAnswer));
+    if (!result) {
+      mNodesTimer.StartOnce(RetryDelay(mOptions.mMaxRetryDelay));
+      return;
+    }
+    for (const Row& row : change.mDeletes) {
+      mRowVersions[row.mKey] = {};
+      mHandlers.mRecordRemoved(row.mKey.substr(kNodePrefix.size()));
+    }
+  });
 }
 
 void
@@ -535,6 +579,9 @@
       WriteRecord();
     }
     if (std::exchange(mRestoresRows, false)) {
+      // Without the usual interval: all processes may be killed soon.
+      mQuarantineWrittenAt = {};
+      mQuarantineScheduled = false;
       PublishQuarantine(mQuarantine);
     }
     mNodesTimer.StartOnce(mOptions.mNodesReadPeriod *
