--- a/libs/gateway/src/LinkTopology.cpp
+++ b/libs/gateway/src/LinkTopology.cpp
@@ -74,12 +74,13 @@
 {
   LinkNodesByDataCentre chosen;
   for (const auto& [name, dataCentre] : aNodes.DataCentres()) {
+    const NodeGroup& nodes = dataCentre.mNodes;
     const bool isOwn = name == mOptions.mDataCentre;
     const std::size_t count =
       isOwn ? mOptions.mLinkNodes : SearchedNodes(name, aNow);
     const auto choose = [&] {
       std::vector<std::string> linkNodes;
-      for (const auto& [node, record] : dataCentre.mNodes) {
+      for (const auto& [node, record] : nodes) {
         const bool alive = isOwn ? IsAlive(record->mNode)
                                  : mOtherLiveness.IsAlive(record->mNode);
         if (alive && linkNodes.size() < count) {
@@ -91,7 +92,7 @@
     std::vector<std::string> linkNodes = choose();
     if (linkNodes.empty()) {
       // Each has been tried in vain; begin anew.
-      for (const auto& [node, record] : dataCentre.mNodes) {
+      for (const auto& [node, record] : nodes) {
         mOtherLiveness.Forget(node);
       }
       linkNodes = choose();
--- a/libs/gateway/tests/LinkTopologyTest.cpp
+++ b/libs/gateway/tests/LinkTopologyTest.cpp
@@ -164,10 +164,11 @@
       }
       for (auto& [node, topology] : mTopologies) {
         if (!mLost.contains(node)) {
+          const std::set<std::string>& reached = linked[node];
           topology.Update(
             mFleet.mNodes,
-            [&](const std::string& aPeer) {
-              return linked[node].contains(aPeer);
+            [&reached](const std::string& aPeer) {
+              return reached.contains(aPeer);
             },
             mNow);
         }
