Keep quarantines whose keepers are lost when the store loses their rows

The store had come back from a copy, of the nodes that had kept the quarantine in their rows two were lost for good and one was cut off from the store, and then all processes were killed.

Cause: only nodes whose own target had crashed write the quarantine again.

StoreDrill.QuarantineOutlastsTheHostsThatKeptIt fails without the call of KeepAll() and passes with it. QuarantineIsWrittenAgain, new too, guards what worked before.

Why it works: the relay of each data centre writes all quarantines in force into its own row when it learns that the store has come back from a copy.

--- a/libs/sidecar/include/sidecar/CrashGuard.h
+++ b/libs/sidecar/include/sidecar/CrashGuard.h
@@ -77,6 +77,10 @@
    *  @param aKeptHere whether an earlier process of this node has kept it. */
   void OnQuarantined(const QuarantineMessage& aMessage, bool aKeptHere);
 
+  /** Keeps all quarantines that are in force, also those that other nodes have
+   *  kept, whose rows may be lost. */
+  void KeepAll();
+
   /** @return the requests that are currently quarantined, and the crashes that
    *    are not explained. */
   [[nodiscard]] QuarantineMessage Quarantined() const;
--- a/libs/sidecar/include/sidecar/StoreSync.h
+++ b/libs/sidecar/include/sidecar/StoreSync.h
@@ -63,6 +63,9 @@
   std::function<void(std::uint64_t)> mRecordStored;
   /** Called when a write of the record has failed. */
   std::function<void()> mRecordNotStored;
+  /** Called when the store has come back from a copy, before the tables are
+   *  read again. */
+  std::function<void()> mCameBackFromCopy;
 };
 
 constexpr Millis kOperatorRowsBatchDelay{ 400 };
--- a/libs/sidecar/src/CrashGuard.cpp
+++ b/libs/sidecar/src/CrashGuard.cpp
@@ -322,6 +322,15 @@
   }
 }
 
+void
+CrashGuard::KeepAll()
+{
+  for (const QuarantineFact& fact : Quarantined().mFacts) {
+    mKeptFacts.insert_or_assign(fact.mFingerprint, fact);
+    mKeptChanged = true;
+  }
+}
+
 QuarantineMessage
 CrashGuard::Quarantined() const
 {
--- a/libs/sidecar/src/Sidecar.cpp
+++ b/libs/sidecar/src/Sidecar.cpp
@@ -222,7 +222,14 @@
           },
         .mRecordStored =
           [this](std::uint64_t aSequence) { mLeaves.OnStored(aSequence); },
-        .mRecordNotStored = [this] { mLeaves.OnStoreFailed(); } },
+        .mRecordNotStored = [this] { mLeaves.OnStoreFailed(); },
+        .mCameBackFromCopy =
+          [this] {
+            if (IsRelay()) {
+              // The nodes that have kept them may be lost.
+              mCrashes.KeepAll();
+            }
+          } },
       mLog,
       mMetrics,
       mRandom)
--- a/libs/sidecar/src/StoreSync.cpp
+++ b/libs/sidecar/src/StoreSync.cpp
@@ -228,6 +228,7 @@
   mRecordChanged = true;
   mRestoresRows = true;
   mNodesTimer.StartOnce(Millis{ 1 });
+  mHandlers.mCameBackFromCopy();
 }
 
 void
