--- a/libs/gateway/benchmark/NodeDirectoryBenchmark.cpp
+++ b/libs/gateway/benchmark/NodeDirectoryBenchmark.cpp
@@ -56,12 +56,14 @@
   }
   LinkTopology topology(
     { .mNode = "node-7", .mDataCentre = "dc-7", .mRegion = "region-1" });
-  topology.Update(directory);
+  const auto allReachable = [](const std::string&) { return true; };
+  topology.Update(directory, allReachable, Millis{});
   NodeRecord& changed = records[records.size() / 2];
   for (auto _ : aState) {
     ++changed.mSequence;
     directory.Merge(changed);
-    benchmark::DoNotOptimize(topology.Update(directory));
+    benchmark::DoNotOptimize(
+      topology.Update(directory, allReachable, Millis{}));
   }
 }
 BENCHMARK(MergeChangedTarget)->Arg(100)->Arg(300)->Arg(900);
