--- a/libs/sidecar/src/RolloutAgent.cpp
+++ b/libs/sidecar/src/RolloutAgent.cpp
@@ -116,10 +116,11 @@
   if (rollout.mProgress == merged) {
     return;
   }
+  const bool stored = aStored && !IsAhead(merged, aProgress);
   rollout.mProgress = merged;
   rollout.mStepDue = false;
   Renumber(rollout);
-  if (merged.mState == RolloutState::RolledBack && !aStored) {
+  if (merged.mState == RolloutState::RolledBack && !stored) {
     // The node that decided the rollback may fail before it writes it, so this
     // node writes it as well.
     WriteLater(rollout);
@@ -137,7 +138,7 @@
       { "share", gateway::kStageShares.at(merged.mStage) },
       { "reason", merged.mReason } });
   mDependencies.mBroadcast(
-    ProgressMessage{ .mProgress = *rollout.mProgress, .mStored = aStored });
+    ProgressMessage{ .mProgress = *rollout.mProgress, .mStored = stored });
 }
 
 std::optional<ProgressMessage>
--- a/libs/sidecar/src/StoreSyncEras.cpp
+++ b/libs/sidecar/src/StoreSyncEras.cpp
@@ -63,6 +63,7 @@
   } else if (*era > *mEra) {
     OnNewEra(*era);
   }
+  // The names of calls begin with what they do.
   const std::string_view call = aCall;
   const bool isChange = call.starts_with("write_");
   if (*era < *mEra) {
