--- a/libs/sidecar/src/SidecarLinks.cpp
+++ b/libs/sidecar/src/SidecarLinks.cpp
@@ -99,10 +99,7 @@
       reached += mMesh.Reachable(record->mNode, now) ? 1 : 0;
     }
   }
-  // Alone in its data centre, a node can only tell whether it has any link.
-  return known == 0
-           ? mTargets.Nodes().All().size() > 1 && mMesh.LinkCount() == 0
-           : reached * 2 < known;
+  return reached * 2 < known;
 }
 
 std::string
